--- /dev/null
+++ b/charts/embedded_charts.h
@@ -0,0 +1,15 @@
+#ifndef ORIOLETALLY_CHARTS_EMBEDDED_CHARTS_H
+#define ORIOLETALLY_CHARTS_EMBEDDED_CHARTS_H
+
+#include "core/charts/state_chart.h"
+
+#include <boost/leaf.hpp>
+
+namespace orioletally::charts {
+
+/// Reads the chart of charts/request.toml, which the build embeds.
+boost::leaf::result<core::charts::StateChart> requestChart();
+
+} // namespace orioletally::charts
+
+#endif
--- /dev/null
+++ b/core/backends/frame.cpp
@@ -0,0 +1,23 @@
+#include "core/backends/frame.h"
+
+#include <array>
+
+namespace orioletally::core::backends {
+
+namespace {
+constexpr std::array<std::string_view, 4> KindNames = {"accepted", "token",
+                                                       "heartbeat", "final"};
+} // namespace
+
+std::string_view frameKindName(FrameKind kind) {
+  return KindNames[static_cast<size_t>(kind)];
+}
+
+std::optional<FrameKind> frameKindFromName(std::string_view name) {
+  for (size_t n = 0; n < KindNames.size(); ++n)
+    if (KindNames[n] == name)
+      return static_cast<FrameKind>(n);
+  return std::nullopt;
+}
+
+} // namespace orioletally::core::backends
--- /dev/null
+++ b/core/backends/service_client.h
@@ -0,0 +1,48 @@
+#ifndef ORIOLETALLY_CORE_BACKENDS_SERVICE_CLIENT_H
+#define ORIOLETALLY_CORE_BACKENDS_SERVICE_CLIENT_H
+
+#include "core/backends/engine_client.h"
+
+#include <absl/time/time.h>
+#include <boost/leaf.hpp>
+#include <string>
+
+namespace orioletally::core::backends {
+
+/// One call to a plain service.
+struct ServiceCall {
+  std::string RequestId;
+  std::string Path;
+  std::string ContentType;
+  std::string Body;
+  /// Passed on so that the service can recognise a repeat; may be empty.
+  std::string IdempotencyKey;
+};
+
+/// The complete answer of a plain service.
+struct ServiceAnswer {
+  int Status = 0;
+  std::string ContentType;
+  std::string Body;
+  /// The service said, before it did anything, that it won't take the call.
+  bool RefusedBeforeStart = false;
+  bool Draining = false;
+  int64_t RetryAfterMs = 0;
+};
+
+/// A plain backend server behind HTTP.
+class ServiceClient {
+public:
+  virtual ~ServiceClient() = default;
+
+  /// Sends \p call once over a fresh connection and waits for the whole answer
+  /// for at most \p bound. Fails with a BackendError.
+  virtual boost::leaf::result<ServiceAnswer> call(const std::string &address,
+                                                  const ServiceCall &call,
+                                                  absl::Duration connect,
+                                                  absl::Duration bound) = 0;
+};
+
+} // namespace orioletally::core::backends
+
+#endif
--- /dev/null
+++ b/core/claims/claim_ledger.cpp
@@ -0,0 +1,154 @@
+#include "core/claims/claim_ledger.h"
+
+#include <absl/strings/escaping.h>
+#include <array>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <optional>
+
+namespace leaf = boost::leaf;
+
+namespace orioletally::core::claims {
+
+namespace {
+
+using nlohmann::json;
+using platform::TableCommit;
+using platform::TableError;
+using platform::TableFailure;
+using platform::TableRow;
+using platform::TableTransaction;
+
+constexpr std::array<std::string_view, 3> StateNames = {"claimed", "answered",
+                                                        "released"};
+constexpr int MaxTries = 4;
+
+std::string rowKey(const ClaimName &name) {
+  // Keys come from callers; hexadecimal keeps them from spelling a path.
+  return fmt::format("claims/{}/{}", absl::BytesToHexString(name.Workspace),
+                     absl::BytesToHexString(name.Key));
+}
+
+json rowValue(const ClaimName &name, const std::string &owner,
+              const std::string &token, ClaimState state) {
+  return {{"state", claimStateName(state)},
+          {"owner", owner},
+          {"token", token},
+          {"call", name.CallDigest}};
+}
+
+ClaimAnswer answerIn(const json &row) {
+  ClaimAnswer answer;
+  answer.Status = row.value("status", 0);
+  answer.ContentType = row.value("content_type", std::string());
+  absl::Base64Unescape(row.value("body", std::string()), &answer.Body);
+  return answer;
+}
+
+/// Decides from the row that stands; empty when it may be claimed anew.
+std::optional<ClaimResult> standing(const TableRow &found,
+                                    const ClaimName &name,
+                                    const std::string &token) {
+  const json row = json::parse(found.Value, nullptr, false);
+  if (!row.is_object())
+    return ClaimPending{};
+  const std::string state = row.value("state", std::string());
+  if (row.value("token", std::string()) == token)
+    return ClaimGranted{found.Version};
+  if (row.value("call", uint64_t{0}) != name.CallDigest)
+    return ClaimKeyReused{};
+  if (state == claimStateName(ClaimState::Answered))
+    return ClaimAnswered{answerIn(row)};
+  if (state == claimStateName(ClaimState::Released))
+    return std::nullopt;
+  return ClaimPending{row.value("owner", std::string())};
+}
+
+/// Commits, and reports a lost answer as not committed: the row that is read
+/// next tells whose write stands.
+leaf::result<TableCommit> commitOrDoubt(platform::TableService &table,
+                                        const TableTransaction &transaction,
+                                        bool &isInDoubt) {
+  return leaf::try_handle_some(
+      [&] { return table.commit(transaction); },
+      [&](const TableError &ec) -> leaf::result<TableCommit> {
+        if (ec.Failure != TableFailure::OutcomeUnknown)
+          return leaf::new_error(ec);
+        isInDoubt = true;
+        return TableCommit{};
+      });
+}
+
+} // namespace
+
+std::string_view claimStateName(ClaimState state) {
+  return StateNames[static_cast<size_t>(state)];
+}
+
+ClaimLedger::ClaimLedger(platform::TableService &service) : Table(service) {}
+
+leaf::result<ClaimResult> ClaimLedger::claim(const ClaimName &name,
+                                             const std::string &owner,
+                                             const std::string &token) {
+  const std::string key = rowKey(name);
+  const std::string value =
+      rowValue(name, owner, token, ClaimState::Claimed).dump();
+  uint64_t version = 0;
+  bool isInDoubt = false;
+  for (int n = 0; n < MaxTries; ++n) {
+    TableTransaction transaction;
+    transaction.Conditions = {{key, version}};
+    transaction.Writes = {{key, value}};
+    BOOST_LEAF_AUTO(commit, commitOrDoubt(Table, transaction, isInDoubt));
+    if (commit.Committed)
+      return ClaimResult(ClaimGranted{commit.Version});
+    BOOST_LEAF_AUTO(found, Table.read(key));
+    version = 0;
+    if (!found.has_value())
+      continue;
+    if (auto result = standing(*found, name, token))
+      return *std::move(result);
+    version = found->Version;
+  }
+  return leaf::new_error(TableError{isInDoubt ? TableFailure::OutcomeUnknown
+                                              : TableFailure::Unavailable,
+                                    "the claim was not settled"});
+}
+
+leaf::result<void> ClaimLedger::recordAnswer(const ClaimName &name,
+                                             const std::string &owner,
+                                             const std::string &token,
+                                             const ClaimGranted &granted,
+                                             const ClaimAnswer &answer) {
+  json row = rowValue(name, owner, token, ClaimState::Answered);
+  row["status"] = answer.Status;
+  row["content_type"] = answer.ContentType;
+  row["body"] = absl::Base64Escape(answer.Body);
+  return replace(name, granted, row.dump());
+}
+
+leaf::result<void> ClaimLedger::release(const ClaimName &name,
+                                        const std::string &owner,
+                                        const std::string &token,
+                                        const ClaimGranted &granted) {
+  return replace(name, granted,
+                 rowValue(name, owner, token, ClaimState::Released).dump());
+}
+
+leaf::result<void> ClaimLedger::replace(const ClaimName &name,
+                                        const ClaimGranted &granted,
+                                        std::string value) {
+  TableTransaction transaction;
+  const std::string key = rowKey(name);
+  transaction.Conditions = {{key, granted.Version}};
+  transaction.Writes = {{key, std::move(value)}};
+  BOOST_LEAF_CHECK(Table.commit(transaction));
+  return {};
+}
+
+bool maySend(absl::Time claimAsked, absl::Duration bound, absl::Time deadline,
+             absl::Time now) {
+  return now - claimAsked <= bound && now < deadline;
+}
+
+} // namespace orioletally::core::claims
--- /dev/null
+++ b/core/limits/retry_budget.h
@@ -0,0 +1,28 @@
+#ifndef ORIOLETALLY_CORE_LIMITS_RETRY_BUDGET_H
+#define ORIOLETALLY_CORE_LIMITS_RETRY_BUDGET_H
+
+namespace orioletally::core::limits {
+
+/// Bounds retries to a share of the requests that succeed, so that a failing
+/// fleet isn't loaded further by the retries against it.
+class RetryBudget {
+public:
+  /// \p share is the retries earned by one success; \p reserve is what a node
+  /// may spend before its first success and the most that it can save.
+  RetryBudget(double share, double reserve);
+
+  /// Earns for one request that ended with a whole answer.
+  void succeeded();
+
+  /// Takes one retry from the budget; false when it is spent.
+  bool tryTake();
+
+private:
+  double Share;
+  double Reserve;
+  double Balance;
+};
+
+} // namespace orioletally::core::limits
+
+#endif
--- /dev/null
+++ b/core/membership/acceptance.cpp
@@ -0,0 +1,53 @@
+#include "core/membership/acceptance.h"
+
+#include <absl/algorithm/container.h>
+#include <set>
+
+namespace orioletally::core::membership {
+
+namespace {
+
+bool isListed(const ListedEntries &listed, const std::string &name) {
+  return listed.has_value() && absl::c_linear_search(*listed, name);
+}
+
+/// Whether the node may still be serving.
+bool mayServe(const AgedMember &member, const ListedEntries &listed) {
+  switch (member.View.Status) {
+  case MemberStatus::Alive:
+  case MemberStatus::Suspect:
+    return true;
+  case MemberStatus::Left:
+    return false;
+  case MemberStatus::Dead:
+    break;
+  }
+  // An unlisted node that is thought dead may be cut off and newer than the
+  // list; after the list's lag it is gone for certain.
+  return !listed.has_value() || isListed(listed, member.View.Self.Name) ||
+         member.StatusAge <= VmListLag;
+}
+
+} // namespace
+
+std::vector<std::string>
+unconfirmedNodes(uint64_t revision, const std::string &self,
+                 const std::vector<AgedMember> &members,
+                 const ListedEntries &listed) {
+  std::set<std::string> waiting;
+  if (listed.has_value())
+    waiting.insert(listed->begin(), listed->end());
+  for (const AgedMember &it : members) {
+    const std::string &name = it.View.Self.Name;
+    const bool isConfirmed = it.View.Self.ProfileRevision >= revision &&
+                             it.View.Status != MemberStatus::Dead;
+    if (isConfirmed || !mayServe(it, listed))
+      waiting.erase(name);
+    else
+      waiting.insert(name);
+  }
+  waiting.erase(self);
+  return {waiting.begin(), waiting.end()};
+}
+
+} // namespace orioletally::core::membership
--- /dev/null
+++ b/core/membership/failure_detector.h
@@ -0,0 +1,148 @@
+#ifndef ORIOLETALLY_CORE_MEMBERSHIP_FAILURE_DETECTOR_H
+#define ORIOLETALLY_CORE_MEMBERSHIP_FAILURE_DETECTOR_H
+
+#include "core/membership/member.h"
+#include "core/membership/peer_message.h"
+
+#include <absl/time/time.h>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace orioletally::core::membership {
+
+/// Parameters of a FailureDetector.
+struct DetectorSettings {
+  /// Time between two probes by one node.
+  absl::Duration Period = absl::Milliseconds(500);
+  /// Wait for a direct answer before others are asked to probe.
+  absl::Duration DirectWait = absl::Milliseconds(200);
+  /// Nodes that are asked to probe on this one's behalf.
+  int IndirectProbes = 3;
+  /// Periods that a suspect has to refute, times log2 of the member count.
+  double SuspicionPeriods = 4;
+  /// News passed on with each message.
+  size_t NewsPerMessage = 8;
+  /// A gap between two ticks that shows this node to have been frozen.
+  absl::Duration FreezeGap = absl::Seconds(2);
+  /// How long a dead member is remembered, so that old news can't revive it.
+  absl::Duration DeadMemory = absl::Minutes(10);
+  uint64_t Seed = 1;
+};
+
+/// What one tick found besides messages to send.
+struct TickFindings {
+  std::vector<OutgoingMessage> Outgoing;
+  /// The node was frozen: whatever it knew may be out of date.
+  bool WasFrozen = false;
+  std::vector<std::string> NewlyDead;
+};
+
+/// Membership of the entry nodes by random probing, in the manner of SWIM
+/// (Das, Gupta and Motivala, 2002): each period a node probes one other, asks
+/// a few more to probe it when it doesn't answer, suspects it, and declares it
+/// dead when it doesn't refute that. The messages of one node don't grow with
+/// the number of nodes. Holds no socket and no clock.
+class FailureDetector {
+public:
+  FailureDetector(Member own, const DetectorSettings &wanted);
+
+  /// Adds a node that is known only by its address.
+  void addSeed(const std::string &address);
+
+  /// Does what is due at \p now. Call several times a period.
+  TickFindings tick(absl::Time now);
+
+  /// Takes a message; returns those to send in answer.
+  std::vector<OutgoingMessage> receive(const PeerMessage &message,
+                                       absl::Time now);
+
+  /// Changes what this node says of itself and makes it news.
+  template <typename Function> void updateSelf(Function change) {
+    Member next = Self;
+    change(next);
+    if (next == Self)
+      return;
+    Self = next;
+    ++Self.Beat;
+  }
+
+  const Member &self() const { return Self; }
+
+  /// Every other member known, dead ones too, in the order of their names.
+  std::vector<MemberView> members() const;
+
+  /// Since when a member has had its status.
+  std::optional<absl::Time> statusSince(std::string_view name) const;
+
+  /// Chooses up to \p n live members at random.
+  std::vector<Member> randomAlive(size_t n);
+
+  /// Whether this node is first by name of the live ones in its zone.
+  bool isZoneLeader() const;
+
+  /// Wraps \p body as a message of this node.
+  PeerMessage message(PeerBody body);
+
+private:
+  struct Entry {
+    MemberView View;
+    absl::Time Since;
+    /// How often its news was passed on.
+    int TimesSent = 0;
+  };
+  struct Probe {
+    uint64_t Sequence = 0;
+    std::string Target;
+    absl::Time SentAt;
+    bool IndirectSent = false;
+  };
+  struct Relay {
+    uint64_t Sequence = 0;
+    uint64_t ForSequence = 0;
+    std::string ForAddress;
+  };
+
+  void learn(const MemberView &news, absl::Time now);
+  void hear(const Member &sender, absl::Time now);
+  void refute(const MemberView &news);
+  void setStatus(Entry &entry, MemberStatus status, absl::Time now);
+  void probeNext(absl::Time now, TickFindings &findings);
+  void probeSeed(absl::Time now, TickFindings &findings);
+  void checkProbe(absl::Time now, TickFindings &findings);
+  void checkSuspects(absl::Time now, TickFindings &findings);
+  void forgetDead(absl::Time now);
+  std::vector<MemberView> news();
+  bool isAlive(const Entry &entry) const;
+  size_t aliveCount() const;
+  absl::Duration suspicionTime() const;
+  std::optional<std::string> nextTarget();
+
+  std::vector<OutgoingMessage> answer(const PeerMessage &from,
+                                      const Ping &ping);
+  std::vector<OutgoingMessage> answer(const PeerMessage &from, const Ack &ack,
+                                      absl::Time now);
+  std::vector<OutgoingMessage> answer(const PeerMessage &from,
+                                      const IndirectPing &request);
+
+  DetectorSettings Settings;
+  Member Self;
+  std::mt19937_64 Random;
+  std::map<std::string, Entry, std::less<>> Members;
+  std::vector<std::string> Seeds;
+  std::vector<std::string> ProbeOrder;
+  std::optional<Probe> Pending;
+  std::vector<Relay> Relays;
+  uint64_t NextSequence = 1;
+  absl::Time NextProbe = absl::InfinitePast();
+  absl::Time LastTick = absl::InfinitePast();
+  absl::Time NextSeed = absl::InfinitePast();
+};
+
+} // namespace orioletally::core::membership
+
+#endif
--- /dev/null
+++ b/core/profiles/profile_store.cpp
@@ -0,0 +1,270 @@
+#include "core/profiles/profile_store.h"
+
+#include <absl/strings/str_format.h>
+#include <fmt/format.h>
+#include <optional>
+#include <utility>
+
+namespace leaf = boost::leaf;
+
+namespace orioletally::core::profiles {
+
+namespace {
+
+using nlohmann::json;
+using platform::TableCommit;
+using platform::TableError;
+using platform::TableFailure;
+using platform::TableRow;
+using platform::TableTransaction;
+
+constexpr std::string_view HeadKey = "profiles/head";
+constexpr std::string_view RowPrefix = "profiles/row/";
+constexpr std::string_view LogPrefix = "profiles/log/";
+constexpr std::string_view ChangePrefix = "profiles/change/";
+constexpr int ScanPage = 500;
+/// Each further try follows a lost answer or another operator's commit.
+constexpr int MaxCommitTries = 8;
+
+std::string logKey(uint64_t revision) {
+  return fmt::format("{}{}", LogPrefix, absl::StrFormat("%016d", revision));
+}
+
+uint64_t versionOf(const std::optional<TableRow> &row) {
+  return row.has_value() ? row->Version : 0;
+}
+
+leaf::error_id unreadable(std::string key, std::string reason) {
+  return leaf::new_error(UnreadableRow{std::move(key), std::move(reason)});
+}
+
+/// Reads the JSON of \p row with \p reader and names the row on failure.
+template <typename Value, typename Reader>
+leaf::result<Value> decode(const TableRow &row, Reader reader) {
+  return leaf::try_handle_some(
+      [&]() -> leaf::result<Value> {
+        return reader(json::parse(row.Value, nullptr, false));
+      },
+      [&](const fields::FieldError &ec) -> leaf::result<Value> {
+        return unreadable(row.Key, fmt::format("{}: {}", ec.Key, ec.Reason));
+      });
+}
+
+uint64_t revisionIn(const std::optional<TableRow> &row) {
+  if (!row.has_value())
+    return 0;
+  const json object = json::parse(row->Value, nullptr, false);
+  return object.is_object() ? object.value("revision", uint64_t{0}) : 0;
+}
+
+/// Tells two changes apart that claim the same id.
+std::string digestOf(const ProfileChange &change) {
+  return fmt::format("{} {} {} {}", changeKindName(change.Kind), change.Name,
+                     change.ExpectedRevision,
+                     absl::StrFormat("%016x", change.Values.hash()));
+}
+
+} // namespace
+
+/// The rows that a change is checked against, read before its transaction.
+struct ProfileStore::Standing {
+  std::optional<TableRow> Head;
+  std::optional<TableRow> Row;
+  std::optional<TableRow> Change;
+  std::optional<Profile> Current;
+
+  bool exists() const { return Current.has_value() && !Current->Retired; }
+};
+
+ProfileStore::ProfileStore(platform::TableService &service) : Table(service) {}
+
+leaf::result<uint64_t> ProfileStore::headRevision() {
+  BOOST_LEAF_AUTO(row, Table.read(HeadKey));
+  return revisionIn(row);
+}
+
+leaf::result<ProfileSet> ProfileStore::snapshot() {
+  // The head is read first: rows that are newer than it do no harm, while a
+  // head that is newer than the rows would claim what was never read.
+  BOOST_LEAF_AUTO(head, headRevision());
+  ProfileSet set;
+  std::string after;
+  while (true) {
+    BOOST_LEAF_AUTO(rows, Table.scan(RowPrefix, after, ScanPage));
+    for (const TableRow &it : rows) {
+      BOOST_LEAF_AUTO(profile, decode<Profile>(it, Profile::fromJson));
+      set.apply(profile);
+      after = it.Key;
+    }
+    if (rows.size() < static_cast<size_t>(ScanPage))
+      break;
+  }
+  set.advanceTo(head);
+  return set;
+}
+
+leaf::result<std::vector<AuditRecord>> ProfileStore::logAfter(uint64_t revision,
+                                                              int limit) {
+  BOOST_LEAF_AUTO(rows, Table.scan(LogPrefix, logKey(revision), limit));
+  std::vector<AuditRecord> records;
+  for (const TableRow &it : rows) {
+    BOOST_LEAF_AUTO(record, decode<AuditRecord>(it, AuditRecord::fromJson));
+    records.push_back(std::move(record));
+  }
+  return records;
+}
+
+leaf::result<ProfileStore::Standing>
+ProfileStore::readStanding(const ProfileChange &change) {
+  Standing result;
+  BOOST_LEAF_ASSIGN(result.Head, Table.read(HeadKey));
+  BOOST_LEAF_ASSIGN(result.Row,
+                    Table.read(fmt::format("{}{}", RowPrefix, change.Name)));
+  // The change id is read last: an earlier try of this very change that lands
+  // between the reads must not look like someone else's.
+  BOOST_LEAF_ASSIGN(result.Change, Table.read(fmt::format("{}{}", ChangePrefix,
+                                                          change.ChangeId)));
+  if (result.Row.has_value()) {
+    BOOST_LEAF_ASSIGN(result.Current,
+                      decode<Profile>(*result.Row, Profile::fromJson));
+  }
+  return result;
+}
+
+leaf::result<ChangeOutcome> ProfileStore::lostRace(const Standing &standing,
+                                                   std::string reason) {
+  ChangeLostRace result;
+  result.Reason = std::move(reason);
+  if (!standing.Current.has_value())
+    return ChangeOutcome(std::move(result));
+  BOOST_LEAF_AUTO(row, Table.read(logKey(standing.Current->Revision)));
+  if (row.has_value()) {
+    BOOST_LEAF_ASSIGN(result.Against,
+                      decode<AuditRecord>(*row, AuditRecord::fromJson));
+  }
+  return ChangeOutcome(std::move(result));
+}
+
+namespace {
+
+/// Returns why \p change doesn't fit the profile that stands, or nothing.
+std::optional<std::string> mismatch(const ProfileChange &change, bool exists,
+                                    const std::optional<Profile> &current) {
+  if (change.Kind == ChangeKind::Create)
+    return exists ? std::optional<std::string>("the profile exists already")
+                  : std::nullopt;
+  if (!exists)
+    return "the profile doesn't exist or is retired";
+  if (current->Revision != change.ExpectedRevision)
+    return fmt::format(
+        "the profile stands at revision {}, the change expected {}",
+        current->Revision, change.ExpectedRevision);
+  return std::nullopt;
+}
+
+AuditRecord recordOf(const ProfileChange &change,
+                     const std::optional<Profile> &current, uint64_t revision) {
+  AuditRecord record;
+  record.Revision = revision;
+  record.Kind = change.Kind;
+  record.Origin = change.Origin;
+  record.ChangeId = change.ChangeId;
+  record.After.Name = change.Name;
+  record.After.Revision = revision;
+  record.After.Retired = change.Kind == ChangeKind::Retire;
+  record.After.Values = record.After.Retired ? current->Values : change.Values;
+  const bool isNew = change.Kind == ChangeKind::Create;
+  record.Differences =
+      differences(isNew ? nullptr : &current->Values, record.After.Values);
+  if (record.After.Retired)
+    record.Differences.push_back({"retired", false, true});
+  return record;
+}
+
+/// A change is in doubt once a write of it was sent and its answer lost.
+leaf::error_id tableError(bool isInDoubt, std::string detail) {
+  return leaf::new_error(TableError{isInDoubt ? TableFailure::OutcomeUnknown
+                                              : TableFailure::Unavailable,
+                                    std::move(detail)});
+}
+
+} // namespace
+
+leaf::result<ChangeOutcome> ProfileStore::repeated(const ProfileChange &change,
+                                                   const TableRow &row) {
+  const json before = json::parse(row.Value, nullptr, false);
+  const uint64_t revision = revisionIn(row);
+  if (before.value("digest", std::string()) != digestOf(change))
+    return ChangeOutcome(ChangeIdTaken{revision});
+  BOOST_LEAF_AUTO(log, logAfter(revision - 1, 1));
+  if (log.empty())
+    return unreadable(logKey(revision), "the audit row is missing");
+  return ChangeOutcome(ChangeCommitted{log.front().After, true});
+}
+
+TableTransaction ProfileStore::transactionFor(const ProfileChange &change,
+                                              const Standing &standing,
+                                              const AuditRecord &record) {
+  const std::string rowKey = fmt::format("{}{}", RowPrefix, change.Name);
+  const std::string changeKey =
+      fmt::format("{}{}", ChangePrefix, change.ChangeId);
+  const std::string headKey(HeadKey);
+  const json changeRow = {{"revision", record.Revision},
+                          {"digest", digestOf(change)}};
+  const json headRow = {{"revision", record.Revision}};
+  TableTransaction transaction;
+  transaction.Conditions = {{changeKey, 0},
+                            {rowKey, versionOf(standing.Row)},
+                            {headKey, versionOf(standing.Head)}};
+  transaction.Writes = {{changeKey, changeRow.dump()},
+                        {rowKey, record.After.toJson().dump()},
+                        {logKey(record.Revision), record.toJson().dump()},
+                        {headKey, headRow.dump()}};
+  return transaction;
+}
+
+leaf::result<std::optional<ChangeOutcome>>
+ProfileStore::tryOnce(const ProfileChange &change, bool &isInDoubt) {
+  BOOST_LEAF_AUTO(standing, readStanding(change));
+  if (standing.Change.has_value()) {
+    BOOST_LEAF_AUTO(outcome, repeated(change, *standing.Change));
+    return std::optional<ChangeOutcome>(std::move(outcome));
+  }
+  if (auto reason = mismatch(change, standing.exists(), standing.Current)) {
+    BOOST_LEAF_AUTO(outcome, lostRace(standing, *std::move(reason)));
+    return std::optional<ChangeOutcome>(std::move(outcome));
+  }
+  const AuditRecord record =
+      recordOf(change, standing.Current, revisionIn(standing.Head) + 1);
+  const TableTransaction transaction = transactionFor(change, standing, record);
+  BOOST_LEAF_AUTO(result,
+                  leaf::try_handle_some(
+                      [&] { return Table.commit(transaction); },
+                      [&](const TableError &ec) -> leaf::result<TableCommit> {
+                        if (ec.Failure != TableFailure::OutcomeUnknown)
+                          return leaf::new_error(ec);
+                        isInDoubt = true;
+                        return TableCommit{};
+                      }));
+  if (!result.Committed)
+    return std::optional<ChangeOutcome>();
+  return std::optional<ChangeOutcome>(ChangeCommitted{record.After, false});
+}
+
+leaf::result<ChangeOutcome> ProfileStore::commit(const ProfileChange &change) {
+  bool isInDoubt = false;
+  for (int n = 0; n < MaxCommitTries; ++n) {
+    BOOST_LEAF_AUTO(outcome,
+                    leaf::try_handle_some(
+                        [&] { return tryOnce(change, isInDoubt); },
+                        [&](const TableError &ec)
+                            -> leaf::result<std::optional<ChangeOutcome>> {
+                          return tableError(isInDoubt, ec.Detail);
+                        }));
+    if (outcome.has_value())
+      return *std::move(outcome);
+  }
+  return tableError(isInDoubt, "too many tries were lost to other changes");
+}
+
+} // namespace orioletally::core::profiles
--- /dev/null
+++ b/core/requests/request_machine.h
@@ -0,0 +1,136 @@
+#ifndef ORIOLETALLY_CORE_REQUESTS_REQUEST_MACHINE_H
+#define ORIOLETALLY_CORE_REQUESTS_REQUEST_MACHINE_H
+
+#include "core/charts/state_chart.h"
+#include "core/requests/request_events.h"
+#include "core/requests/request_plan.h"
+#include "core/routing/backend_selector.h"
+
+#include <absl/time/time.h>
+#include <string>
+#include <vector>
+
+namespace orioletally::core::requests {
+
+/// States of charts/request.toml, in the order of requestStateNames().
+enum class RequestState {
+  Queued,
+  Waiting,
+  Running,
+  Resuming,
+  Cancelling,
+  Finished,
+  Failed,
+};
+
+/// Events of charts/request.toml, in the order of requestEventNames().
+enum class RequestStep {
+  Submitted,
+  EngineAnswered,
+  Refused,
+  NeverSent,
+  ConnectionLost,
+  StreamLost,
+  OutcomeAsked,
+  Completed,
+  GivenUp,
+};
+
+absl::Span<const std::string_view> requestStateNames();
+absl::Span<const std::string_view> requestStepNames();
+
+/// How many frames were turned away, by cause.
+struct DroppedFrames {
+  uint64_t Foreign = 0;
+  uint64_t Late = 0;
+  uint64_t Duplicate = 0;
+  uint64_t Gap = 0;
+
+  uint64_t total() const { return Foreign + Late + Duplicate + Gap; }
+};
+
+/// One line of the explanation of a request.
+struct TraceLine {
+  absl::Time At;
+  std::string Text;
+};
+
+/// Decides everything about one completion after admission. It holds no
+/// socket, thread or clock: the driver feeds events and carries out actions.
+/// It ends with exactly one CompleteAnswer or FailAnswer, at the latest when
+/// the driver reports a timer at the deadline.
+class RequestMachine {
+public:
+  RequestMachine(RequestPlan admitted, const charts::StateChart &chart,
+                 routing::BackendSelector &selector);
+
+  /// Makes the first choice of a backend server.
+  RequestActions start(absl::Time now);
+
+  /// Takes one event. After the final answer every event is ignored.
+  RequestActions handle(const RequestEvent &event, absl::Time now);
+
+  /// When the driver has to report the next TimerFired.
+  absl::Time nextWake() const;
+
+  bool isDone() const { return Position.isFinal(); }
+  const RequestPlan &plan() const { return Plan; }
+  const DroppedFrames &dropped() const { return Dropped; }
+  const std::vector<TraceLine> &trace() const { return Trace; }
+  RequestState state() const { return Position.state(); }
+  int64_t attemptsMade() const { return Attempt; }
+  const std::string &backend() const { return Current.BackendId; }
+
+  /// Whether the engine may have run the request, from what is known now.
+  errors::RunState runState() const;
+
+private:
+  void on(const FrameArrived &event, absl::Time now);
+  void on(const SubmitRefused &event, absl::Time now);
+  void on(const StreamNotFound &event, absl::Time now);
+  void on(const ConnectionClosed &event, absl::Time now);
+  void on(const CancelAnswered &event, absl::Time now);
+  void on(const CallerLeft &event, absl::Time now);
+  void on(const DrainBoundReached &event, absl::Time now);
+  void on(const TimerFired &event, absl::Time now);
+
+  bool belongs(const FrameArrived &event);
+  void takeToken(const backends::Frame &frame, absl::Time now);
+  void takeFinal(const backends::Frame &frame, absl::Time now);
+  void trySubmit(absl::Time now);
+  void denied(const routing::RouteDenied &denial, absl::Time now);
+  void loseConnection(std::string_view cause, absl::Time now);
+  void loseStream(std::string_view cause, absl::Time now);
+  void returnToQueue(RequestStep step, absl::Time now);
+  void releaseBackend(bool completed, absl::Time now);
+  void giveUp(errors::ErrorCode code, std::string message, std::string rule,
+              int64_t retryAfterMs, absl::Time now);
+  void enterWait(absl::Time now);
+  void note(absl::Time now, std::string text);
+  routing::RouteQuery query() const;
+
+  RequestPlan Plan;
+  charts::ChartPosition<RequestState, RequestStep> Position;
+  routing::BackendSelector &Selector;
+
+  routing::RouteChoice Current;
+  bool HoldsBackend = false;
+  uint32_t Attempt = 0;
+  ConnectionNumber Connection = 0;
+  uint64_t NextOffset = 0;
+  /// Connections lost since the stream last made progress.
+  int LostInARow = 0;
+  bool MayHaveRun = false;
+  bool HasRun = false;
+  absl::Time QueueUntil = absl::InfiniteFuture();
+  absl::Time RetryAt = absl::InfiniteFuture();
+  absl::Time WaitUntil = absl::InfiniteFuture();
+  std::vector<std::string> Exclude;
+  DroppedFrames Dropped;
+  std::vector<TraceLine> Trace;
+  RequestActions Pending;
+};
+
+} // namespace orioletally::core::requests
+
+#endif
--- /dev/null
+++ b/core/routing/routing_policy.cpp
@@ -0,0 +1,86 @@
+#include "core/routing/routing_policy.h"
+
+#include <absl/random/random.h>
+#include <algorithm>
+
+namespace orioletally::core::routing {
+
+namespace {
+
+size_t randomIndex(Candidates candidates, const PolicyContext &context) {
+  return absl::Uniform<size_t>(context.Random, 0, candidates.size());
+}
+
+} // namespace
+
+size_t RandomPolicy::choose(Candidates candidates,
+                            const PolicyContext &context) {
+  return randomIndex(candidates, context);
+}
+
+size_t RoundRobinPolicy::choose(Candidates candidates, const PolicyContext &) {
+  return Next++ % candidates.size();
+}
+
+size_t LeastInFlightPolicy::choose(Candidates candidates,
+                                   const PolicyContext &context) {
+  // Starting at a random place spreads ties.
+  size_t best = randomIndex(candidates, context);
+  const size_t first = best;
+  for (size_t n = 1; n < candidates.size(); ++n) {
+    const size_t it = (first + n) % candidates.size();
+    if (candidates[it]->InFlight < candidates[best]->InFlight)
+      best = it;
+  }
+  return best;
+}
+
+size_t TwoChoicesPolicy::choose(Candidates candidates,
+                                const PolicyContext &context) {
+  const size_t one = randomIndex(candidates, context);
+  const size_t two = randomIndex(candidates, context);
+  return candidates[two]->InFlight < candidates[one]->InFlight ? two : one;
+}
+
+size_t PredictedFirstTokenPolicy::choose(Candidates candidates,
+                                         const PolicyContext &context) {
+  size_t best = randomIndex(candidates, context);
+  const size_t first = best;
+  absl::Duration earliest = predictFirstToken(*candidates[best], context);
+  for (size_t n = 1; n < candidates.size(); ++n) {
+    const size_t it = (first + n) % candidates.size();
+    const absl::Duration predicted =
+        predictFirstToken(*candidates[it], context);
+    if (predicted < earliest) {
+      earliest = predicted;
+      best = it;
+    }
+  }
+  return best;
+}
+
+RoutingPolicy routingPolicyFromName(std::string_view name) {
+  if (name == "least_in_flight")
+    return LeastInFlightPolicy{};
+  if (name == "two_choices")
+    return TwoChoicesPolicy{};
+  if (name == "round_robin")
+    return RoundRobinPolicy{};
+  if (name == "random")
+    return RandomPolicy{};
+  return PredictedFirstTokenPolicy{};
+}
+
+absl::Duration predictFirstToken(const BackendState &backend,
+                                 const PolicyContext &context) {
+  if (backend.Vm.PrefillRate <= 0)
+    return absl::ZeroDuration();
+  const int64_t cached =
+      context.Prefixes.believedTokens(backend.Vm.Id, context.Query.Prefix);
+  const int64_t own = std::max<int64_t>(0, context.Query.PromptTokens - cached);
+  const int64_t ahead = backend.queuedPrefill(context.Now);
+  return absl::Seconds(static_cast<double>(ahead + own) /
+                       static_cast<double>(backend.Vm.PrefillRate));
+}
+
+} // namespace orioletally::core::routing
--- /dev/null
+++ b/drivers/backend/http_engine_client.cpp
@@ -0,0 +1,159 @@
+#include "drivers/backend/http_engine_client.h"
+
+#include "drivers/backend/engine_codec.h"
+#include "drivers/http/http_exchange.h"
+
+#include <fmt/format.h>
+#include <utility>
+
+namespace leaf = boost::leaf;
+
+namespace orioletally::drivers::backend {
+
+namespace {
+
+using core::backends::BackendError;
+using core::backends::CancelState;
+using core::backends::EngineConnection;
+using core::backends::EngineSubmit;
+using core::backends::LoadReport;
+using core::backends::StreamHolding;
+using core::backends::StreamId;
+using core::backends::StreamObserver;
+using http::ExchangeEnd;
+using http::ExchangeRequest;
+
+constexpr int StatusOk = 200;
+constexpr int StatusNotFound = 404;
+
+/// One exchange whose answer is a stream of frames.
+class StreamExchange : public EngineConnection {
+public:
+  StreamExchange(ExchangeRequest request,
+                 std::shared_ptr<StreamObserver> observer)
+      : Observer(std::move(observer)),
+        Exchange(
+            std::move(request),
+            [this](int status, std::string_view data) { take(status, data); },
+            [this](const ExchangeEnd &end) { finish(end); }) {}
+
+  void stop() override { Exchange.stop(); }
+
+private:
+  void take(int status, std::string_view data) {
+    if (status != StatusOk) {
+      ErrorBody.append(data);
+      return;
+    }
+    Lines.feed(data, [this](std::string_view line) {
+      if (auto frame = frameFromLine(line))
+        Observer->frame(*std::move(frame));
+    });
+  }
+
+  void finish(const ExchangeEnd &end) {
+    if (end.Whole && end.Status == StatusNotFound) {
+      Observer->unknownStream();
+      return;
+    }
+    if (end.Whole && end.Status != StatusOk) {
+      if (auto refusal = refusalFromJson(ErrorBody)) {
+        Observer->refused(*std::move(refusal));
+        return;
+      }
+    }
+    const std::string reason =
+        end.Error.empty() ? fmt::format("ended with status {}", end.Status)
+                          : end.Error;
+    Observer->closed(BackendError{reason, end.Written});
+  }
+
+  std::shared_ptr<StreamObserver> Observer;
+  LineSplitter Lines;
+  std::string ErrorBody;
+  // Last, because its thread uses the members above from the start.
+  http::HttpExchange Exchange;
+};
+
+std::string streamPath(const StreamId &stream) {
+  return fmt::format("/v1/streams/{}/{}", stream.RequestId, stream.Attempt);
+}
+
+/// Makes a short call and returns the body of an answer with status 200.
+leaf::result<std::string> shortCall(ExchangeRequest request,
+                                    absl::Duration bound) {
+  request.Connect = bound;
+  std::string body;
+  const ExchangeEnd end = http::exchangeWithin(std::move(request), bound, body);
+  if (!end.Whole || end.Status != StatusOk)
+    return leaf::new_error(BackendError{
+        fmt::format("status {} {}", end.Status, end.Error), end.Written});
+  return body;
+}
+
+template <typename Value>
+leaf::result<Value> readable(std::optional<Value> value) {
+  if (!value.has_value())
+    return leaf::new_error(BackendError{"the answer can't be read", true});
+  return *std::move(value);
+}
+
+ExchangeRequest get(const std::string &address, std::string path) {
+  ExchangeRequest request;
+  request.Address = address;
+  request.Method = "GET";
+  request.Path = std::move(path);
+  return request;
+}
+
+} // namespace
+
+std::unique_ptr<EngineConnection>
+HttpEngineClient::submit(const std::string &address, EngineSubmit submit,
+                         absl::Duration connect,
+                         std::shared_ptr<StreamObserver> observer) {
+  ExchangeRequest request;
+  request.Address = address;
+  request.Method = "POST";
+  request.Path = "/v1/streams";
+  request.Body = submitToJson(submit);
+  request.Connect = connect;
+  return std::make_unique<StreamExchange>(std::move(request),
+                                          std::move(observer));
+}
+
+std::unique_ptr<EngineConnection>
+HttpEngineClient::resume(const std::string &address, StreamId stream,
+                         uint64_t offset, absl::Duration connect,
+                         std::shared_ptr<StreamObserver> observer) {
+  ExchangeRequest request =
+      get(address, fmt::format("{}?offset={}", streamPath(stream), offset));
+  request.Connect = connect;
+  return std::make_unique<StreamExchange>(std::move(request),
+                                          std::move(observer));
+}
+
+leaf::result<CancelState> HttpEngineClient::cancel(const std::string &address,
+                                                   const StreamId &stream,
+                                                   absl::Duration bound) {
+  ExchangeRequest request;
+  request.Address = address;
+  request.Method = "DELETE";
+  request.Path = streamPath(stream);
+  BOOST_LEAF_AUTO(body, shortCall(std::move(request), bound));
+  return readable(cancelFromJson(body));
+}
+
+leaf::result<std::vector<StreamHolding>>
+HttpEngineClient::holdings(const std::string &address, absl::Duration bound) {
+  BOOST_LEAF_AUTO(body, shortCall(get(address, "/v1/streams"), bound));
+  return readable(holdingsFromJson(body));
+}
+
+leaf::result<LoadReport> HttpEngineClient::load(const std::string &address,
+                                                absl::Duration bound) {
+  BOOST_LEAF_AUTO(body, shortCall(get(address, "/v1/load"), bound));
+  return readable(loadFromJson(body));
+}
+
+} // namespace orioletally::drivers::backend
--- /dev/null
+++ b/drivers/backend/http_engine_client.h
@@ -0,0 +1,36 @@
+#ifndef ORIOLETALLY_DRIVERS_BACKEND_HTTP_ENGINE_CLIENT_H
+#define ORIOLETALLY_DRIVERS_BACKEND_HTTP_ENGINE_CLIENT_H
+
+#include "core/backends/engine_client.h"
+
+namespace orioletally::drivers::backend {
+
+/// Speaks the engines' HTTP protocol; docs/INTERFACES.md has it field by
+/// field. Every call opens a connection of its own, because an open one can
+/// have gone silent without either end noticing.
+class HttpEngineClient : public core::backends::EngineClient {
+public:
+  std::unique_ptr<core::backends::EngineConnection>
+  submit(const std::string &address, core::backends::EngineSubmit submit,
+         absl::Duration connect,
+         std::shared_ptr<core::backends::StreamObserver> observer) override;
+
+  std::unique_ptr<core::backends::EngineConnection>
+  resume(const std::string &address, core::backends::StreamId stream,
+         uint64_t offset, absl::Duration connect,
+         std::shared_ptr<core::backends::StreamObserver> observer) override;
+
+  boost::leaf::result<core::backends::CancelState>
+  cancel(const std::string &address, const core::backends::StreamId &stream,
+         absl::Duration bound) override;
+
+  boost::leaf::result<std::vector<core::backends::StreamHolding>>
+  holdings(const std::string &address, absl::Duration bound) override;
+
+  boost::leaf::result<core::backends::LoadReport>
+  load(const std::string &address, absl::Duration bound) override;
+};
+
+} // namespace orioletally::drivers::backend
+
+#endif
--- /dev/null
+++ b/drivers/backend/http_service_client.cpp
@@ -0,0 +1,58 @@
+#include "drivers/backend/http_service_client.h"
+
+#include "drivers/http/http_exchange.h"
+
+#include <absl/strings/numbers.h>
+#include <fmt/format.h>
+
+namespace leaf = boost::leaf;
+
+namespace orioletally::drivers::backend {
+
+namespace {
+
+using core::backends::BackendError;
+using core::backends::ServiceAnswer;
+using core::backends::ServiceCall;
+
+constexpr int64_t MsPerSecond = 1000;
+
+std::string headerOf(const httplib::Headers &headers, const char *key) {
+  const auto it = headers.find(key);
+  return it == headers.end() ? std::string() : it->second;
+}
+
+} // namespace
+
+leaf::result<ServiceAnswer> HttpServiceClient::call(const std::string &address,
+                                                    const ServiceCall &call,
+                                                    absl::Duration connect,
+                                                    absl::Duration bound) {
+  http::ExchangeRequest request;
+  request.Address = address;
+  request.Method = "POST";
+  request.Path = fmt::format("/{}", call.Path);
+  request.Body = call.Body;
+  request.Connect = connect;
+  if (!call.ContentType.empty())
+    request.ContentType = call.ContentType;
+  request.Headers.emplace("X-Request-Id", call.RequestId);
+  if (!call.IdempotencyKey.empty())
+    request.Headers.emplace("Idempotency-Key", call.IdempotencyKey);
+
+  ServiceAnswer answer;
+  const http::ExchangeEnd end =
+      http::exchangeWithin(std::move(request), bound, answer.Body);
+  if (!end.Whole)
+    return leaf::new_error(BackendError{end.Error, end.Written});
+  answer.Status = end.Status;
+  answer.ContentType = headerOf(end.Headers, "Content-Type");
+  answer.RefusedBeforeStart = headerOf(end.Headers, "X-Not-Started") == "true";
+  answer.Draining = headerOf(end.Headers, "X-Draining") == "true";
+  int64_t seconds = 0;
+  if (absl::SimpleAtoi(headerOf(end.Headers, "Retry-After"), &seconds))
+    answer.RetryAfterMs = seconds * MsPerSecond;
+  return answer;
+}
+
+} // namespace orioletally::drivers::backend
--- /dev/null
+++ b/drivers/clock/clock.cpp
@@ -0,0 +1,28 @@
+#include "drivers/clock/clock.h"
+
+#include <absl/time/clock.h>
+#include <algorithm>
+#include <ctime>
+
+namespace orioletally::drivers::clock {
+
+namespace {
+constexpr absl::Duration LongestWait = absl::Hours(1);
+} // namespace
+
+absl::Time steadyNow() {
+  timespec ts{};
+  clock_gettime(CLOCK_BOOTTIME, &ts);
+  return absl::TimeFromTimespec(ts);
+}
+
+absl::Time wallNow() { return absl::Now(); }
+
+std::chrono::steady_clock::time_point waitPoint(absl::Time until,
+                                                absl::Time now) {
+  const absl::Duration wait =
+      std::clamp(until - now, absl::ZeroDuration(), LongestWait);
+  return std::chrono::steady_clock::now() + absl::ToChronoNanoseconds(wait);
+}
+
+} // namespace orioletally::drivers::clock
--- /dev/null
+++ b/drivers/gateway/caller_api.cpp
@@ -0,0 +1,281 @@
+#include "drivers/gateway/caller_api.h"
+
+#include "drivers/clock/clock.h"
+#include "drivers/gateway/completion_exchange.h"
+#include "drivers/gateway/http_reply.h"
+#include "drivers/http/socket_stream.h"
+#include "drivers/log/log.h"
+
+#include <absl/strings/str_format.h>
+#include <algorithm>
+#include <fmt/format.h>
+#include <utility>
+
+namespace orioletally::drivers::gateway {
+
+namespace {
+
+using core::backends::ServiceAnswer;
+using core::errors::ErrorCode;
+using core::errors::RequestError;
+using core::errors::RequestErrorBuilder;
+using core::profiles::Profile;
+using core::profiles::ProfileKind;
+using core::requests::RequestPlan;
+using nlohmann::json;
+
+constexpr int64_t DefaultMaxTokens = 256;
+constexpr int64_t NotReadyRetryMs = 1000;
+constexpr size_t MaxKeyLength = 256;
+constexpr int StatusOk = 200;
+
+RequestError refuse(ErrorCode code, std::string message, std::string rule) {
+  return RequestErrorBuilder(code, std::move(message))
+      .rule(std::move(rule))
+      .build();
+}
+
+std::function<bool()> goneCheck() {
+  http::SocketStream *connection = http::currentConnection();
+  return [connection] {
+    return connection != nullptr && connection->isPeerGone();
+  };
+}
+
+json explainService(const ServicePlan &plan, const ServiceRunner &runner,
+                    const ServiceResult &result) {
+  json steps = json::array();
+  for (const std::string &it : runner.trace())
+    steps.push_back({{"what", it}});
+  json explanation = {{"request_id", plan.Call.RequestId},
+                      {"workspace", plan.Workspace},
+                      {"profile", plan.Profile.Name},
+                      {"profile_revision", plan.Profile.Revision},
+                      {"limits", plan.Profile.Values.toJson()},
+                      {"unrepeatable", plan.Unrepeatable},
+                      {"steps", steps}};
+  if (const auto *error = std::get_if<RequestError>(&result))
+    explanation["error"] = json::parse(errorBody(*error))["error"];
+  else
+    explanation["status"] = std::get<ServiceAnswer>(result).Status;
+  return explanation;
+}
+
+} // namespace
+
+void CallerApi::registerRoutes(http::HttpServer &server) {
+  server.Post("/v1/completions", [this](const httplib::Request &request,
+                                        httplib::Response &response) {
+    complete(CompletionShape::Text, request, response);
+  });
+  server.Post("/v1/chat/completions", [this](const httplib::Request &request,
+                                             httplib::Response &response) {
+    complete(CompletionShape::Chat, request, response);
+  });
+  server.Post(
+      R"(/v1/services/([^/]+)/(.*))",
+      [this](const httplib::Request &request, httplib::Response &response) {
+        callService(request, response);
+      });
+  server.Get("/v1/models", [this](const httplib::Request &request,
+                                  httplib::Response &response) {
+    listModels(request, response);
+  });
+}
+
+std::string CallerApi::newRequestId() {
+  return absl::StrFormat("r-%s-%x-%d", Context.Node, Context.Incarnation,
+                         NextRequest++);
+}
+
+void CallerApi::fail(httplib::Response &response, const std::string &requestId,
+                     const std::string &workspace,
+                     const RequestError &error) const {
+  Context.Runner.Metrics.refused(error);
+  Context.Journal.record(requestId,
+                         {{"request_id", requestId},
+                          {"workspace", workspace},
+                          {"error", json::parse(errorBody(error))["error"]}});
+  log::write(log::Level::Info, "request_refused",
+             {{"request_id", requestId},
+              {"code", core::errors::errorCodeName(error.Code)},
+              {"rule", error.Rule}});
+  replyError(response, error);
+}
+
+std::variant<Principal, RequestError>
+CallerApi::authenticate(const httplib::Request &request) const {
+  auto principal =
+      Context.Tokens.find(request.get_header_value("Authorization"));
+  if (!principal.has_value())
+    return refuse(ErrorCode::Unauthorized, "unknown bearer token",
+                  "setting auth.tokens_file");
+  if (principal->IsOperator)
+    return refuse(ErrorCode::Forbidden, "an operator's token has no workspace",
+                  "setting auth.tokens_file");
+  if (!Context.IsReady())
+    return RequestErrorBuilder(ErrorCode::Overloaded,
+                               "the entry node isn't ready")
+        .rule("readiness")
+        .retryAfterMs(NotReadyRetryMs)
+        .build();
+  return *std::move(principal);
+}
+
+std::variant<Profile, RequestError>
+CallerApi::profileFor(const std::string &name, ProfileKind kind,
+                      const std::string &workspace) const {
+  const ProfileView::Snapshot set = Context.Profiles.current();
+  const Profile *profile =
+      kind == ProfileKind::Service ? set->findService(name) : set->find(name);
+  if (profile == nullptr)
+    return refuse(ErrorCode::NotFound, "no such profile: " + name,
+                  fmt::format("profiles at revision {}", set->revision()));
+  if (profile->kind() != kind)
+    return refuse(ErrorCode::BadRequest,
+                  "the profile is of the other kind: " + name,
+                  profile->rule("kind"));
+  if (!profile->allowsWorkspace(workspace))
+    return refuse(ErrorCode::Forbidden,
+                  "the profile is closed to this workspace",
+                  profile->rule("workspaces"));
+  return *profile;
+}
+
+std::variant<RequestPlan, RequestError>
+CallerApi::planFor(const CompletionCall &call, const std::string &workspace,
+                   const std::string &requestId) const {
+  auto found = profileFor(call.ProfileName, ProfileKind::Completion, workspace);
+  if (const auto *error = std::get_if<RequestError>(&found))
+    return *error;
+  RequestPlan plan;
+  plan.RequestId = requestId;
+  plan.Workspace = workspace;
+  plan.Profile = std::get<Profile>(std::move(found));
+  plan.PromptTokens = estimateTokens(call.Prompt, Context.BytesPerToken);
+  plan.MaxTokens = call.MaxTokens.value_or(
+      std::min(DefaultMaxTokens, plan.Profile.maxOutputTokens()));
+  plan.Prefix = prefixMarks(call.Prompt, workspace, Context.BytesPerToken);
+  plan.Streaming = call.Stream;
+  plan.Deadline = clock::steadyNow() + plan.Profile.deadline();
+  if (plan.PromptTokens > plan.Profile.maxPromptTokens())
+    return refuse(
+        ErrorCode::PayloadTooLarge,
+        fmt::format("the prompt has about {} tokens", plan.PromptTokens),
+        plan.Profile.rule("max_prompt_tokens"));
+  if (plan.MaxTokens > plan.Profile.maxOutputTokens())
+    return refuse(ErrorCode::BadRequest,
+                  fmt::format("max_tokens: expected at most {}",
+                              plan.Profile.maxOutputTokens()),
+                  plan.Profile.rule("max_output_tokens"));
+  return plan;
+}
+
+void CallerApi::complete(CompletionShape shape, const httplib::Request &request,
+                         httplib::Response &response) {
+  const std::string requestId = newRequestId();
+  response.set_header("X-Request-Id", requestId);
+  const auto caller = authenticate(request);
+  if (const auto *error = std::get_if<RequestError>(&caller))
+    return fail(response, requestId, "", *error);
+  const std::string &workspace = std::get<Principal>(caller).Name;
+  GateResult entry = Context.Runner.Gate.tryEnter(workspace);
+  if (const auto *error = std::get_if<RequestError>(&entry))
+    return fail(response, requestId, workspace, *error);
+  auto parsed = parseCompletionCall(shape, request.body);
+  if (const auto *error = std::get_if<RequestError>(&parsed))
+    return fail(response, requestId, workspace, *error);
+  auto &call = std::get<CompletionCall>(parsed);
+  auto planned = planFor(call, workspace, requestId);
+  if (const auto *error = std::get_if<RequestError>(&planned))
+    return fail(response, requestId, workspace, *error);
+  auto &plan = std::get<RequestPlan>(planned);
+
+  AnswerFormat format(shape, requestId, plan.Profile.Name,
+                      absl::ToUnixSeconds(clock::wallNow()));
+  auto runner = std::make_unique<CompletionRunner>(
+      Context.Runner, std::move(plan), std::move(call.Prompt), goneCheck());
+  const auto exchange = std::make_shared<CompletionExchange>(
+      std::get<std::shared_ptr<GateTicket>>(std::move(entry)),
+      std::move(runner), std::move(format), Context.Journal);
+  if (call.Stream)
+    exchange->replyStream(response);
+  else
+    exchange->replyWhole(response);
+}
+
+void CallerApi::callService(const httplib::Request &request,
+                            httplib::Response &response) {
+  const std::string requestId = newRequestId();
+  response.set_header("X-Request-Id", requestId);
+  const auto caller = authenticate(request);
+  if (const auto *error = std::get_if<RequestError>(&caller))
+    return fail(response, requestId, "", *error);
+  const std::string &workspace = std::get<Principal>(caller).Name;
+  const GateResult entry = Context.Runner.Gate.tryEnter(workspace);
+  if (const auto *error = std::get_if<RequestError>(&entry))
+    return fail(response, requestId, workspace, *error);
+  const auto found =
+      profileFor(request.matches[1], ProfileKind::Service, workspace);
+  if (const auto *error = std::get_if<RequestError>(&found))
+    return fail(response, requestId, workspace, *error);
+
+  ServicePlan plan;
+  plan.Profile = std::get<Profile>(found);
+  plan.Workspace = workspace;
+  plan.Call.RequestId = requestId;
+  plan.Call.Path = request.matches[2];
+  plan.Call.Body = request.body;
+  plan.Call.ContentType = request.get_header_value("Content-Type");
+  plan.Call.IdempotencyKey = request.get_header_value("Idempotency-Key");
+  plan.Unrepeatable = !plan.Profile.repeatable() ||
+                      request.get_header_value("X-Unrepeatable") == "true";
+  plan.Deadline = clock::steadyNow() + plan.Profile.deadline();
+  if (plan.Call.IdempotencyKey.size() > MaxKeyLength)
+    return fail(response, requestId, workspace,
+                refuse(ErrorCode::BadRequest,
+                       "Idempotency-Key: expected at most 256 characters",
+                       "docs/API.md"));
+  const auto bodyBytes = static_cast<int64_t>(plan.Call.Body.size());
+  if (bodyBytes > plan.Profile.Values.integer("max_body_bytes"))
+    return fail(response, requestId, workspace,
+                refuse(ErrorCode::PayloadTooLarge, "the body is too large",
+                       plan.Profile.rule("max_body_bytes")));
+
+  ServiceRunner runner(Context.Service, plan);
+  const ServiceResult result = runner.run();
+  Context.Journal.record(requestId, explainService(plan, runner, result));
+  if (const auto *error = std::get_if<RequestError>(&result)) {
+    Context.Runner.Metrics.refused(*error);
+    replyError(response, *error);
+    return;
+  }
+  const auto &answer = std::get<ServiceAnswer>(result);
+  Context.Runner.Metrics.finished(plan.Profile.Name);
+  response.status = answer.Status;
+  response.set_content(answer.Body, answer.ContentType.empty()
+                                        ? "application/octet-stream"
+                                        : answer.ContentType.c_str());
+}
+
+void CallerApi::listModels(const httplib::Request &request,
+                           httplib::Response &response) {
+  const auto principal =
+      Context.Tokens.find(request.get_header_value("Authorization"));
+  if (!principal.has_value())
+    return replyError(response,
+                      refuse(ErrorCode::Unauthorized, "unknown bearer token",
+                             "setting auth.tokens_file"));
+  const ProfileView::Snapshot set = Context.Profiles.current();
+  json data = json::array();
+  for (const Profile *it : set->all())
+    if (!it->Retired && it->kind() == ProfileKind::Completion &&
+        (principal->IsOperator || it->allowsWorkspace(principal->Name)))
+      data.push_back({{"id", it->Name},
+                      {"object", "model"},
+                      {"created", 0},
+                      {"owned_by", "orioletally"}});
+  replyJson(response, StatusOk, {{"object", "list"}, {"data", data}});
+}
+
+} // namespace orioletally::drivers::gateway
--- /dev/null
+++ b/drivers/gateway/completion_exchange.cpp
@@ -0,0 +1,151 @@
+#include "drivers/gateway/completion_exchange.h"
+
+#include "drivers/gateway/http_reply.h"
+#include "drivers/log/log.h"
+
+#include <absl/strings/str_cat.h>
+#include <utility>
+
+namespace orioletally::drivers::gateway {
+
+namespace {
+
+using core::requests::CompleteAnswer;
+using core::requests::DeliverToken;
+using core::requests::FailAnswer;
+using core::requests::RequestMachine;
+using core::requests::RequestPlan;
+using core::requests::RestartAnswer;
+using nlohmann::json;
+
+constexpr int StatusOk = 200;
+
+} // namespace
+
+CompletionExchange::CompletionExchange(
+    std::shared_ptr<GateTicket> held, std::unique_ptr<CompletionRunner> started,
+    AnswerFormat shape, RequestJournal &target)
+    : Ticket(std::move(held)), Runner(std::move(started)),
+      Format(std::move(shape)), Journal(target) {}
+
+CompletionExchange::~CompletionExchange() {
+  const RequestPlan &plan = Runner->machine().plan();
+  Journal.record(plan.RequestId, explanation());
+  json line = {{"request_id", plan.RequestId},
+               {"attempt", Runner->machine().attemptsMade()},
+               {"profile", plan.Profile.Name},
+               {"revision", plan.Profile.Revision},
+               {"backend", Runner->machine().backend()},
+               {"prompt_tokens", plan.PromptTokens}};
+  if (Error.has_value())
+    line["code"] = core::errors::errorCodeName(Error->Code);
+  log::write(Error.has_value() ? log::Level::Warn : log::Level::Info,
+             "request_ended", line);
+}
+
+void CompletionExchange::replyStream(httplib::Response &response) {
+  First = Runner->next();
+  if (const auto *failed = std::get_if<FailAnswer>(&*First)) {
+    Error = failed->Error;
+    Ended = true;
+    replyError(response, failed->Error);
+    return;
+  }
+  response.status = StatusOk;
+  response.set_header("Cache-Control", "no-store");
+  response.set_chunked_content_provider(
+      "text/event-stream",
+      [self = shared_from_this()](size_t, httplib::DataSink &sink) {
+        return self->writeSome(sink);
+      });
+}
+
+bool CompletionExchange::writeSome(httplib::DataSink &sink) {
+  RunnerOutput output =
+      First.has_value() ? *std::exchange(First, std::nullopt) : Runner->next();
+  std::string text =
+      std::visit([this](const auto &it) { return take(it); }, output);
+  while (!Ended && Runner->hasNext())
+    text +=
+        std::visit([this](const auto &it) { return take(it); }, Runner->next());
+  const bool isWritten = sink.write(text.data(), text.size());
+  if (Ended && isWritten)
+    sink.done();
+  return isWritten;
+}
+
+void CompletionExchange::replyWhole(httplib::Response &response) {
+  std::string text;
+  while (true) {
+    const RunnerOutput output = Runner->next();
+    if (const auto *token = std::get_if<DeliverToken>(&output)) {
+      text += token->Text;
+    } else if (std::holds_alternative<RestartAnswer>(output)) {
+      text.clear();
+    } else if (const auto *done = std::get_if<CompleteAnswer>(&output)) {
+      response.status = StatusOk;
+      response.set_content(
+          Format.whole(text, done->FinishReason, usage(done->Tokens)),
+          "application/json");
+      return;
+    } else {
+      Error = std::get<FailAnswer>(output).Error;
+      replyError(response, *Error);
+      return;
+    }
+  }
+}
+
+std::string CompletionExchange::take(const DeliverToken &output) {
+  return Format.tokenEvent(output.Text);
+}
+
+std::string CompletionExchange::take(const RestartAnswer &) {
+  // A machine that streams never restarts an answer.
+  return "";
+}
+
+std::string CompletionExchange::take(const CompleteAnswer &output) {
+  Ended = true;
+  return Format.finalEvents(output.FinishReason, usage(output.Tokens));
+}
+
+std::string CompletionExchange::take(const FailAnswer &output) {
+  Ended = true;
+  Error = output.Error;
+  return AnswerFormat::errorEvent(output.Error);
+}
+
+AnswerUsage CompletionExchange::usage(uint64_t completionTokens) const {
+  return {Runner->machine().plan().PromptTokens, completionTokens};
+}
+
+json CompletionExchange::explanation() const {
+  const RequestMachine &machine = Runner->machine();
+  const RequestPlan &plan = machine.plan();
+  json steps = json::array();
+  for (const core::requests::TraceLine &it : machine.trace())
+    steps.push_back(
+        {{"ms", absl::ToInt64Milliseconds(it.At - Runner->admitted())},
+         {"what", it.Text}});
+  json result = {
+      {"request_id", plan.RequestId},
+      {"workspace", plan.Workspace},
+      {"profile", plan.Profile.Name},
+      {"profile_revision", plan.Profile.Revision},
+      {"limits", plan.Profile.Values.toJson()},
+      {"prompt_tokens", plan.PromptTokens},
+      {"max_tokens", plan.MaxTokens},
+      {"backend", machine.backend()},
+      {"attempts", machine.attemptsMade()},
+      {"frames_dropped", machine.dropped().total()},
+      {"state", core::requests::requestStateNames()[static_cast<size_t>(
+                    machine.state())]},
+      {"run", core::errors::runStateName(machine.runState())},
+      {"steps", steps}};
+  if (Error.has_value())
+    result["error"] = json::parse(errorBody(*Error))["error"];
+  return result;
+}
+
+} // namespace orioletally::drivers::gateway
--- /dev/null
+++ b/drivers/gateway/fleet_poller.h
@@ -0,0 +1,96 @@
+#ifndef ORIOLETALLY_DRIVERS_GATEWAY_FLEET_POLLER_H
+#define ORIOLETALLY_DRIVERS_GATEWAY_FLEET_POLLER_H
+
+#include "core/platform/table_service.h"
+#include "core/platform/vm_list.h"
+#include "drivers/gateway/profile_changes.h"
+#include "drivers/gateway/profile_sync.h"
+#include "drivers/gateway/shared_router.h"
+#include "drivers/gateway/view_freshness.h"
+#include "drivers/peer/peer_service.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace orioletally::drivers::gateway {
+
+/// Parameters of a FleetPoller.
+struct PollerSettings {
+  absl::Duration VmListPoll;
+  /// Time between two reads of the head by the poller of a zone.
+  absl::Duration ProfilePoll;
+  /// The same by the other nodes of the zone.
+  absl::Duration ProfileBackstop;
+  /// Time between two renewals of this node's registration.
+  absl::Duration Registration = absl::Seconds(30);
+};
+
+/// Keeps the node's view of the fleet up to date from the platform: the VM
+/// list, the profiles and the other nodes' registrations. When the process was
+/// frozen it refreshes all of it before the view counts as fresh again.
+class FleetPoller {
+public:
+  FleetPoller(const PollerSettings &wanted, core::platform::VmList &list,
+              core::platform::TableService &table, ProfileSync &profiles,
+              ProfileChanges &changes, SharedRouter &target,
+              peer::PeerService &service, ViewFreshness &view);
+  ~FleetPoller();
+  FleetPoller(const FleetPoller &) = delete;
+  FleetPoller &operator=(const FleetPoller &) = delete;
+
+  void start();
+  void stop();
+
+  /// Whether the VM list was ever read.
+  bool hasVmList() const { return HasVmList; }
+
+private:
+  void run();
+  void round(absl::Time now);
+  bool pollVmList(absl::Time now);
+  bool pollProfiles(absl::Time now);
+  void pollRegistrations(absl::Time now);
+  /// Returns whether the table or a peer confirmed what this node knows.
+  bool refreshAfterFreeze();
+  void touch();
+  void spreadNewLeaving();
+  /// The next time after \p pause, spread so that nodes don't poll together,
+  /// and longer after failures.
+  absl::Time later(absl::Time now, absl::Duration pause, int failures);
+
+  PollerSettings Settings;
+  core::platform::VmList &List;
+  core::platform::TableService &Table;
+  ProfileSync &Profiles;
+  ProfileChanges &Changes;
+  SharedRouter &Router;
+  peer::PeerService &Peers;
+  ViewFreshness &Freshness;
+  std::mt19937_64 Random;
+
+  absl::Time NextVmList = absl::InfinitePast();
+  absl::Time NextProfiles = absl::InfinitePast();
+  absl::Time NextRegistration = absl::InfinitePast();
+  absl::Time TableDownSince = absl::InfiniteFuture();
+  /// The process was frozen and its view isn't confirmed yet.
+  bool IsStale = false;
+  int VmListFailures = 0;
+  int ProfileFailures = 0;
+  int RegistrationFailures = 0;
+  std::vector<std::string> KnownLeaving;
+  std::atomic<bool> HasVmList = false;
+
+  std::mutex Guard;
+  std::condition_variable Changed;
+  bool Stopping = false;
+  std::thread Worker;
+};
+
+} // namespace orioletally::drivers::gateway
+
+#endif
--- /dev/null
+++ b/drivers/gateway/operator_api.h
@@ -0,0 +1,70 @@
+#ifndef ORIOLETALLY_DRIVERS_GATEWAY_OPERATOR_API_H
+#define ORIOLETALLY_DRIVERS_GATEWAY_OPERATOR_API_H
+
+#include "drivers/gateway/caller_tokens.h"
+#include "drivers/gateway/node_gate.h"
+#include "drivers/gateway/profile_changes.h"
+#include "drivers/gateway/profile_view.h"
+#include "drivers/gateway/request_journal.h"
+#include "drivers/gateway/shared_router.h"
+#include "drivers/http/http_server.h"
+#include "drivers/metrics/node_metrics.h"
+#include "drivers/platform/http_table_service.h"
+
+#include <functional>
+#include <string>
+
+namespace orioletally::drivers::gateway {
+
+/// What the operators' part of an entry node works with.
+struct OperatorContext {
+  const CallerTokens &Tokens;
+  const ProfileView &Profiles;
+  ProfileChanges &Changes;
+  const RequestJournal &Journal;
+  NodeGate &Gate;
+  SharedRouter &Router;
+  peer::PeerService &Peers;
+  metrics::NodeMetrics &Metrics;
+  const platform::TableCallCounts &TableCalls;
+  absl::Duration AcceptWait;
+  std::function<bool()> IsReady;
+};
+
+/// The HTTP interface of operators, and the health checks and metrics.
+class OperatorApi {
+public:
+  explicit OperatorApi(const OperatorContext &parts) : Context(parts) {}
+
+  void registerRoutes(http::HttpServer &server);
+
+private:
+  using Failure = core::errors::RequestError;
+
+  void registerProfiles(http::HttpServer &server);
+  void registerStatus(http::HttpServer &server);
+
+  void listProfiles(httplib::Response &response) const;
+  void showProfile(const std::string &name, httplib::Response &response) const;
+  void putProfile(const httplib::Request &request, httplib::Response &response,
+                  const std::string &operatorName);
+  void retireProfile(const httplib::Request &request,
+                     httplib::Response &response,
+                     const std::string &operatorName);
+  void change(core::profiles::ProfileChange wanted,
+              const httplib::Request &request, httplib::Response &response,
+              const std::string &operatorName);
+  void showAudit(const httplib::Request &request, httplib::Response &response,
+                 const std::string &profileName);
+  void showChange(const std::string &revision,
+                  httplib::Response &response) const;
+  void showStatus(httplib::Response &response) const;
+  void showRequest(const std::string &id, httplib::Response &response) const;
+  void showMetrics(httplib::Response &response) const;
+
+  const OperatorContext &Context;
+};
+
+} // namespace orioletally::drivers::gateway
+
+#endif
--- /dev/null
+++ b/drivers/gateway/profile_changes.cpp
@@ -0,0 +1,173 @@
+#include "drivers/gateway/profile_changes.h"
+
+#include "drivers/clock/clock.h"
+
+#include <absl/strings/str_join.h>
+#include <fmt/format.h>
+#include <utility>
+
+namespace leaf = boost::leaf;
+
+namespace orioletally::drivers::gateway {
+
+namespace {
+
+using core::errors::ErrorCode;
+using core::errors::RequestError;
+using core::errors::RequestErrorBuilder;
+using core::errors::RunState;
+using core::membership::AgedMember;
+using core::membership::MemberStatus;
+using core::membership::MemberView;
+using core::membership::ProfileRecords;
+using core::platform::TableError;
+using core::platform::TableFailure;
+using core::profiles::ChangeCommitted;
+using core::profiles::ChangeIdTaken;
+using core::profiles::ChangeLostRace;
+using core::profiles::ChangeOutcome;
+using core::profiles::ProfileChange;
+using core::profiles::UnreadableRow;
+
+constexpr int64_t TableRetryMs = 2000;
+/// Pause between two direct sends to nodes that haven't confirmed.
+constexpr absl::Duration ResendPause = absl::Milliseconds(200);
+constexpr size_t ResendAtOnce = 16;
+
+ChangeRefused refused(RequestErrorBuilder error) {
+  return {error.build(), std::nullopt};
+}
+
+ChangeRefused tableFailed(const TableError &ec) {
+  const bool isUnknown = ec.Failure == TableFailure::OutcomeUnknown;
+  return refused(
+      RequestErrorBuilder(
+          ErrorCode::PlatformUnavailable,
+          isUnknown ? "the change may have taken effect; repeat it with the "
+                      "same change id to find out"
+                    : "the table service can't be reached; nothing changed")
+          .run(isUnknown ? RunState::Unknown : RunState::NotRun)
+          .rule("a change needs the table service")
+          .retryAfterMs(TableRetryMs));
+}
+
+} // namespace
+
+ProfileChanges::ProfileChanges(core::platform::TableService &table,
+                               ProfileSync &sync, peer::PeerService &peers)
+    : Store(table), Sync(sync), Peers(peers) {}
+
+void ProfileChanges::setListedEntries(std::vector<std::string> names) {
+  const std::lock_guard lock(Guard);
+  Listed = std::move(names);
+}
+
+std::vector<std::string> ProfileChanges::waitingFor(uint64_t revision) const {
+  const absl::Time now = clock::steadyNow();
+  std::vector<AgedMember> members;
+  for (const MemberView &it : Peers.members())
+    members.push_back({it, Peers.statusAge(it.Self.Name, now)});
+  const std::lock_guard lock(Guard);
+  return core::membership::unconfirmedNodes(revision, Peers.self().Name,
+                                            members, Listed);
+}
+
+std::optional<ChangeRefused>
+ProfileChanges::refusedByPeers(const ProfileChange &change) const {
+  if (change.Kind == core::profiles::ChangeKind::Retire)
+    return std::nullopt;
+  const uint64_t own = Peers.self().FieldsHash;
+  for (const MemberView &it : Peers.members()) {
+    const bool isServing =
+        it.Status == MemberStatus::Alive || it.Status == MemberStatus::Suspect;
+    if (!isServing || it.Self.FieldsHash == own)
+      continue;
+    return refused(
+        RequestErrorBuilder(
+            ErrorCode::Conflict,
+            fmt::format(
+                "entry node {} runs a version with other profile fields",
+                it.Self.Name))
+            .rule("a change must be readable by every entry node")
+            .retryAfterMs(TableRetryMs));
+  }
+  return std::nullopt;
+}
+
+ChangeReply ProfileChanges::apply(const ProfileChange &change,
+                                  absl::Duration bound) {
+  if (auto refusal = refusedByPeers(change))
+    return *std::move(refusal);
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<ChangeReply> {
+        BOOST_LEAF_AUTO(outcome, Store.commit(change));
+        if (const auto *done = std::get_if<ChangeCommitted>(&outcome))
+          return committed(*done, bound);
+        if (const auto *race = std::get_if<ChangeLostRace>(&outcome))
+          return lost(*race);
+        return ChangeReply(refused(
+            RequestErrorBuilder(ErrorCode::Conflict,
+                                "the change id was used for another change")
+                .rule("change id")));
+      },
+      [](const TableError &ec) { return ChangeReply(tableFailed(ec)); },
+      [](const UnreadableRow &row) {
+        return ChangeReply(refused(RequestErrorBuilder(
+            ErrorCode::Internal,
+            fmt::format("{} can't be read: {}", row.Key, row.Reason))));
+      },
+      [] {
+        return ChangeReply(refused(
+            RequestErrorBuilder(ErrorCode::Internal, "the change failed")
+                .run(RunState::Unknown)));
+      });
+}
+
+ChangeReply ProfileChanges::committed(const ChangeCommitted &outcome,
+                                      absl::Duration bound) {
+  const uint64_t revision = outcome.After.Revision;
+  Sync.takeCommitted(outcome.After);
+  ProfileRecords records;
+  records.After = revision - 1;
+  records.CompleteTo = revision;
+  records.Profiles = {outcome.After.toJson().dump()};
+  records.ConfirmTo = Peers.address();
+  Peers.spread(records);
+
+  const absl::Time until = clock::steadyNow() + bound;
+  absl::Time resendAt = clock::steadyNow() + ResendPause;
+  std::vector<std::string> waiting = waitingFor(revision);
+  while (!waiting.empty()) {
+    const absl::Time now = clock::steadyNow();
+    if (now >= until)
+      break;
+    if (now >= resendAt) {
+      resendAt = now + ResendPause;
+      std::vector<std::string> next = waiting;
+      next.resize(std::min(next.size(), ResendAtOnce));
+      Peers.sendTo(next, records);
+    }
+    Peers.waitForNews(std::min(resendAt, until) - now);
+    waiting = waitingFor(revision);
+  }
+  return ChangeInForce{outcome.After, outcome.Repeated, std::move(waiting)};
+}
+
+ChangeReply ProfileChanges::lost(const ChangeLostRace &outcome) {
+  ChangeRefused result;
+  const bool isKnown = outcome.Against.Revision > 0;
+  std::string message = outcome.Reason;
+  if (isKnown)
+    message +=
+        fmt::format("; {} put it there at {}", outcome.Against.Origin.Operator,
+                    outcome.Against.Origin.At);
+  result.Error =
+      RequestErrorBuilder(ErrorCode::PreconditionFailed, std::move(message))
+          .rule("a change names the revision it was made from")
+          .build();
+  if (isKnown)
+    result.Against = outcome.Against;
+  return result;
+}
+
+} // namespace orioletally::drivers::gateway
--- /dev/null
+++ b/drivers/gateway/service_runner.cpp
@@ -0,0 +1,238 @@
+#include "drivers/gateway/service_runner.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <memory>
+#include <utility>
+#include <xxhash.h>
+
+namespace leaf = boost::leaf;
+
+namespace orioletally::drivers::gateway {
+
+namespace {
+
+using core::backends::BackendError;
+using core::backends::ServiceAnswer;
+using core::claims::ClaimAnswer;
+using core::claims::ClaimAnswered;
+using core::claims::ClaimGranted;
+using core::claims::ClaimKeyReused;
+using core::claims::ClaimPending;
+using core::claims::ClaimResult;
+using core::errors::ErrorCode;
+using core::errors::RequestError;
+using core::errors::RequestErrorBuilder;
+using core::errors::RunState;
+using core::platform::TableError;
+using core::routing::RouteChoice;
+using core::routing::RouteDenied;
+using core::routing::RouteQuery;
+using core::routing::RouteRefusal;
+
+constexpr int64_t DefaultRetryAfterMs = 1000;
+
+uint64_t digestOf(const core::backends::ServiceCall &call) {
+  const uint64_t path = XXH3_64bits(call.Path.data(), call.Path.size());
+  return XXH3_64bits_withSeed(call.Body.data(), call.Body.size(), path);
+}
+
+} // namespace
+
+ServiceRunner::ServiceRunner(const ServiceContext &context, ServicePlan plan)
+    : Context(context), Plan(std::move(plan)), Ledger(context.Table) {}
+
+ServiceResult ServiceRunner::run() {
+  if (Plan.Unrepeatable && !Plan.Call.IdempotencyKey.empty())
+    return runClaimed();
+  return sendUntilSettled();
+}
+
+ServiceResult ServiceRunner::runClaimed() {
+  Claim = {
+      Plan.Workspace,
+      fmt::format("{}/{}", Plan.Profile.service(), Plan.Call.IdempotencyKey),
+      digestOf(Plan.Call)};
+  Token = fmt::format("{}/{}", Context.Owner, Plan.Call.RequestId);
+  ClaimAsked = Context.Now();
+  const auto outcome = leaf::try_handle_all(
+      [&]() -> leaf::result<std::variant<ClaimResult, RequestError>> {
+        BOOST_LEAF_AUTO(result, Ledger.claim(Claim, Context.Owner, Token));
+        return std::variant<ClaimResult, RequestError>(result);
+      },
+      [&](const TableError &ec) {
+        note(fmt::format("claim failed: {}", ec.Detail));
+        return std::variant<ClaimResult, RequestError>(
+            RequestErrorBuilder(ErrorCode::PlatformUnavailable,
+                                "the claim of this call can't be written")
+                .rule("unrepeatable calls need the table service")
+                .retryAfterMs(DefaultRetryAfterMs)
+                .build());
+      },
+      [] {
+        return std::variant<ClaimResult, RequestError>(
+            RequestErrorBuilder(ErrorCode::Internal, "the claim failed")
+                .build());
+      });
+  if (const auto *error = std::get_if<RequestError>(&outcome))
+    return *error;
+  const auto &result = std::get<ClaimResult>(outcome);
+  if (const auto *seen = std::get_if<ClaimAnswered>(&result)) {
+    note("answered before; the first answer is given again");
+    ServiceAnswer answer;
+    answer.Status = seen->Answer.Status;
+    answer.ContentType = seen->Answer.ContentType;
+    answer.Body = seen->Answer.Body;
+    return answer;
+  }
+  if (const auto *pending = std::get_if<ClaimPending>(&result))
+    return RequestErrorBuilder(ErrorCode::Conflict,
+                               fmt::format("the call was claimed before by {} "
+                                           "and its outcome isn't known",
+                                           pending->Owner))
+        .run(RunState::Unknown)
+        .rule("idempotency key")
+        .retryAfterMs(DefaultRetryAfterMs)
+        .build();
+  if (std::holds_alternative<ClaimKeyReused>(result))
+    return RequestErrorBuilder(ErrorCode::Conflict,
+                               "the key was used before for another call")
+        .rule("idempotency key")
+        .build();
+  const auto &granted = std::get<ClaimGranted>(result);
+  note("claim granted");
+  ServiceResult sent = sendUntilSettled();
+  if (const auto *answer = std::get_if<ServiceAnswer>(&sent))
+    keepAnswer(granted, *answer);
+  else if (std::get<RequestError>(sent).Run == RunState::NotRun)
+    releaseClaim(granted);
+  return sent;
+}
+
+std::variant<RouteChoice, RequestError> ServiceRunner::choose() {
+  auto result = Context.Router.selectService(Plan.Profile.service(), Exclude,
+                                             Attempts, Context.Now());
+  if (const auto *denied = std::get_if<RouteDenied>(&result))
+    return refusal(*denied);
+  return std::get<RouteChoice>(std::move(result));
+}
+
+RequestError ServiceRunner::refusal(const RouteDenied &denied) {
+  const bool isUnknown = denied.Reason == RouteRefusal::NoneKnown;
+  return RequestErrorBuilder(isUnknown ? ErrorCode::NoBackend
+                                       : ErrorCode::Overloaded,
+                             isUnknown ? "no backend server runs the service"
+                                       : "no backend server is free")
+      .run(Run)
+      .rule(std::string(core::routing::routeRefusalName(denied.Reason)))
+      .retryAfterMs(std::max(denied.RetryAfterMs, DefaultRetryAfterMs))
+      .build();
+}
+
+RequestError ServiceRunner::tooLate() {
+  return RequestErrorBuilder(ErrorCode::DeadlineExceeded,
+                             "no time is left to send the call")
+      .run(Run)
+      .rule(Plan.Profile.rule("deadline_ms"))
+      .retryAfterMs(DefaultRetryAfterMs)
+      .build();
+}
+
+bool ServiceRunner::mayRetry(RunState run) const {
+  if (Attempts >= Plan.Profile.maxAttempts())
+    return false;
+  return run == RunState::NotRun || !Plan.Unrepeatable;
+}
+
+ServiceResult ServiceRunner::sendUntilSettled() {
+  while (true) {
+    auto route = choose();
+    if (const auto *error = std::get_if<RequestError>(&route))
+      return *error;
+    const auto &choice = std::get<RouteChoice>(route);
+    ++Attempts;
+    note(fmt::format("attempt {} to {}: {}", Attempts, choice.BackendId,
+                     choice.Reason));
+    // The last look at the clock before the call leaves this node.
+    const absl::Time now = Context.Now();
+    const bool isClaimed = ClaimAsked != absl::InfiniteFuture();
+    const bool isTooOld =
+        isClaimed && !core::claims::maySend(ClaimAsked, Context.ClaimBound,
+                                            Plan.Deadline, now);
+    if (isTooOld || now >= Plan.Deadline) {
+      Context.Router.released(choice.BackendId, RouteQuery{}, false, now);
+      return tooLate();
+    }
+    BackendError failure;
+    const auto answer = leaf::try_handle_all(
+        [&]() -> leaf::result<std::optional<ServiceAnswer>> {
+          BOOST_LEAF_AUTO(
+              it, Context.Services.call(choice.Address, Plan.Call,
+                                        std::min(Plan.Profile.connectBound(),
+                                                 Plan.Deadline - now),
+                                        Plan.Deadline - now));
+          return std::optional<ServiceAnswer>(std::move(it));
+        },
+        [&](const BackendError &ec) {
+          failure = ec;
+          return std::optional<ServiceAnswer>();
+        },
+        [] { return std::optional<ServiceAnswer>(); });
+    const absl::Time after = Context.Now();
+    Context.Router.released(choice.BackendId, RouteQuery{}, answer.has_value(),
+                            after);
+    RunState tried = RunState::NotRun;
+    if (answer.has_value() && !answer->RefusedBeforeStart) {
+      note(fmt::format("answered with status {}", answer->Status));
+      return *answer;
+    }
+    if (answer.has_value()) {
+      Context.Router.refused(choice.BackendId, answer->RetryAfterMs,
+                             answer->Draining, after);
+      note(fmt::format("{} refused before it began", choice.BackendId));
+    } else {
+      Context.Router.failed(choice.BackendId, after);
+      tried = failure.Written ? RunState::Unknown : RunState::NotRun;
+      note(fmt::format("{} failed: {}", choice.BackendId, failure.Message));
+    }
+    if (tried == RunState::Unknown)
+      Run = RunState::Unknown;
+    Exclude.push_back(choice.BackendId);
+    if (after >= Plan.Deadline)
+      return tooLate();
+    if (!mayRetry(tried))
+      return RequestErrorBuilder(ErrorCode::BackendFailed,
+                                 "the backend server failed")
+          .run(Run)
+          .rule(Plan.Profile.rule(Plan.Unrepeatable ? "repeatable"
+                                                    : "max_attempts"))
+          .retryAfterMs(DefaultRetryAfterMs)
+          .build();
+  }
+}
+
+void ServiceRunner::keepAnswer(const ClaimGranted &granted,
+                               const ServiceAnswer &answer) {
+  const ClaimAnswer kept{answer.Status, answer.ContentType, answer.Body};
+  const bool isKept = leaf::try_handle_all(
+      [&]() -> leaf::result<bool> {
+        BOOST_LEAF_CHECK(
+            Ledger.recordAnswer(Claim, Context.Owner, Token, granted, kept));
+        return true;
+      },
+      [] { return false; });
+  note(isKept ? "the answer is kept for repeats"
+              : "the answer could not be kept; a repeat will be told unknown");
+}
+
+void ServiceRunner::releaseClaim(const ClaimGranted &granted) {
+  leaf::try_handle_all(
+      [&]() -> leaf::result<void> {
+        return Ledger.release(Claim, Context.Owner, Token, granted);
+      },
+      [this] { note("the claim could not be released"); });
+}
+
+void ServiceRunner::note(std::string text) { Trace.push_back(std::move(text)); }
+
+} // namespace orioletally::drivers::gateway
--- /dev/null
+++ b/drivers/gateway/service_runner.h
@@ -0,0 +1,83 @@
+#ifndef ORIOLETALLY_DRIVERS_GATEWAY_SERVICE_RUNNER_H
+#define ORIOLETALLY_DRIVERS_GATEWAY_SERVICE_RUNNER_H
+
+#include "core/backends/service_client.h"
+#include "core/claims/claim_ledger.h"
+#include "core/errors/request_error.h"
+#include "core/profiles/profile.h"
+#include "drivers/gateway/background_calls.h"
+#include "drivers/gateway/shared_router.h"
+
+#include <functional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace orioletally::drivers::gateway {
+
+/// One admitted call to a plain service.
+struct ServicePlan {
+  core::backends::ServiceCall Call;
+  std::string Workspace;
+  core::profiles::Profile Profile;
+  /// Set when the profile or the caller marks the call unrepeatable.
+  bool Unrepeatable = false;
+  absl::Time Deadline;
+};
+
+using ServiceResult =
+    std::variant<core::backends::ServiceAnswer, core::errors::RequestError>;
+
+/// What a ServiceRunner works with; all of it outlives every runner.
+struct ServiceContext {
+  core::backends::ServiceClient &Services;
+  core::platform::TableService &Table;
+  SharedRouter &Router;
+  BackgroundCalls &Background;
+  /// Node and incarnation, which own the claims.
+  std::string Owner;
+  /// Longest time between asking for a claim and sending the call.
+  absl::Duration ClaimBound;
+  std::function<absl::Time()> Now;
+};
+
+/// Carries out calls to plain services. A repeatable call is tried again
+/// within its deadline; an unrepeatable one is sent at most once by this node,
+/// and, when the caller gave a key, at most once by any.
+class ServiceRunner {
+public:
+  ServiceRunner(const ServiceContext &context, ServicePlan plan);
+
+  /// Runs the call to its one final answer.
+  ServiceResult run();
+
+  /// What was decided, one line a step.
+  const std::vector<std::string> &trace() const { return Trace; }
+
+private:
+  ServiceResult runClaimed();
+  ServiceResult sendUntilSettled();
+  std::variant<core::routing::RouteChoice, core::errors::RequestError> choose();
+  core::errors::RequestError refusal(const core::routing::RouteDenied &denied);
+  core::errors::RequestError tooLate();
+  bool mayRetry(core::errors::RunState run) const;
+  void keepAnswer(const core::claims::ClaimGranted &granted,
+                  const core::backends::ServiceAnswer &answer);
+  void releaseClaim(const core::claims::ClaimGranted &granted);
+  void note(std::string text);
+
+  const ServiceContext &Context;
+  ServicePlan Plan;
+  core::claims::ClaimLedger Ledger;
+  core::claims::ClaimName Claim;
+  std::string Token;
+  absl::Time ClaimAsked = absl::InfiniteFuture();
+  int64_t Attempts = 0;
+  core::errors::RunState Run = core::errors::RunState::NotRun;
+  std::vector<std::string> Exclude;
+  std::vector<std::string> Trace;
+};
+
+} // namespace orioletally::drivers::gateway
+
+#endif
--- /dev/null
+++ b/drivers/gateway/shared_router.h
@@ -0,0 +1,54 @@
+#ifndef ORIOLETALLY_DRIVERS_GATEWAY_SHARED_ROUTER_H
+#define ORIOLETALLY_DRIVERS_GATEWAY_SHARED_ROUTER_H
+
+#include "core/routing/fleet_router.h"
+#include "drivers/gateway/view_freshness.h"
+
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace orioletally::drivers::gateway {
+
+/// A FleetRouter that the threads of all requests use at once.
+class SharedRouter : public core::routing::BackendSelector {
+public:
+  /// Chooses nothing while \p view isn't fresh.
+  SharedRouter(const core::routing::RouterSettings &settings,
+               const ViewFreshness &view)
+      : Freshness(view), Router(settings) {}
+
+  core::routing::RouteResult select(const core::routing::RouteQuery &query,
+                                    absl::Time now) override;
+  void refused(const std::string &backend, int64_t retryAfterMs, bool draining,
+               absl::Time now) override;
+  void failed(const std::string &backend, absl::Time now) override;
+  void released(const std::string &backend,
+                const core::routing::RouteQuery &query, bool completed,
+                absl::Time now) override;
+
+  core::routing::RouteResult
+  selectService(std::string_view service,
+                const std::vector<std::string> &exclude, int64_t attemptsMade,
+                absl::Time now);
+
+  /// Marks backend servers as leaving; returns those that weren't yet.
+  std::vector<std::string> markLeaving(const std::vector<std::string> &ids,
+                                       absl::Time now);
+
+  /// Runs \p use on the registry while no other thread does.
+  template <typename Function> auto withRegistry(Function use) {
+    const std::lock_guard lock(Guard);
+    return use(Router.registry());
+  }
+
+private:
+  const ViewFreshness &Freshness;
+  std::mutex Guard;
+  core::routing::FleetRouter Router;
+};
+
+} // namespace orioletally::drivers::gateway
+
+#endif
--- /dev/null
+++ b/drivers/http/socket_stream.cpp
@@ -0,0 +1,103 @@
+#include "drivers/http/socket_stream.h"
+
+#include "drivers/clock/clock.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <array>
+#include <cerrno>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+
+namespace orioletally::drivers::http {
+
+namespace {
+
+thread_local SocketStream *Current = nullptr;
+
+constexpr int LongestPollMs = 1000;
+
+using AddressGetter = int (*)(int, sockaddr *, socklen_t *);
+
+void describe(int fd, AddressGetter getter, std::string &ip, int &port) {
+  sockaddr_in address{};
+  socklen_t n = sizeof(address);
+  if (getter(fd, reinterpret_cast<sockaddr *>(&address), &n) != 0 ||
+      address.sin_family != AF_INET)
+    return;
+  std::array<char, INET_ADDRSTRLEN> buf{};
+  inet_ntop(AF_INET, &address.sin_addr, buf.data(), buf.size());
+  ip = buf.data();
+  port = ntohs(address.sin_port);
+}
+
+} // namespace
+
+SocketStream::SocketStream(int fd, absl::Duration writeBound)
+    : Fd(fd), WriteBound(writeBound) {}
+
+bool SocketStream::waitFor(short events, absl::Time until) const {
+  while (true) {
+    const absl::Duration left = until - clock::steadyNow();
+    if (left <= absl::ZeroDuration())
+      return false;
+    const auto ms =
+        std::min<int64_t>(LongestPollMs, absl::ToInt64Milliseconds(left) + 1);
+    pollfd entry{Fd, events, 0};
+    const int n = ::poll(&entry, 1, static_cast<int>(ms));
+    if (n > 0)
+      return true;
+    if (n < 0 && errno != EINTR)
+      return false;
+  }
+}
+
+bool SocketStream::is_readable() const { return waitFor(POLLIN, ReadUntil); }
+
+bool SocketStream::is_writable() const {
+  return waitFor(POLLOUT, clock::steadyNow() + WriteBound) && !isPeerGone();
+}
+
+ssize_t SocketStream::read(char *ptr, size_t size) {
+  if (!waitFor(POLLIN, ReadUntil)) {
+    TimedOut = true;
+    return -1;
+  }
+  return ::recv(Fd, ptr, size, 0);
+}
+
+ssize_t SocketStream::write(const char *ptr, size_t size) {
+  if (!waitFor(POLLOUT, clock::steadyNow() + WriteBound))
+    return -1;
+  // A slow caller must not hold the thread for longer than the bound.
+  const ssize_t n = ::send(Fd, ptr, size, MSG_NOSIGNAL | MSG_DONTWAIT);
+  if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+    return 0;
+  return n;
+}
+
+void SocketStream::get_remote_ip_and_port(std::string &ip, int &port) const {
+  describe(Fd, ::getpeername, ip, port);
+}
+
+void SocketStream::get_local_ip_and_port(std::string &ip, int &port) const {
+  describe(Fd, ::getsockname, ip, port);
+}
+
+bool SocketStream::isPeerGone() const {
+  pollfd entry{Fd, POLLRDHUP, 0};
+  if (::poll(&entry, 1, 0) <= 0)
+    return false;
+  return (entry.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
+SocketStream *currentConnection() { return Current; }
+
+CurrentConnectionScope::CurrentConnectionScope(SocketStream &stream) {
+  Current = &stream;
+}
+
+CurrentConnectionScope::~CurrentConnectionScope() { Current = nullptr; }
+
+} // namespace orioletally::drivers::http
--- /dev/null
+++ b/drivers/peer/peer_service.cpp
@@ -0,0 +1,236 @@
+#include "drivers/peer/peer_service.h"
+
+#include "drivers/clock/clock.h"
+#include "drivers/log/log.h"
+#include "drivers/peer/peer_codec.h"
+
+#include <utility>
+
+namespace leaf = boost::leaf;
+
+namespace orioletally::drivers::peer {
+
+namespace {
+
+using namespace core::membership;
+
+/// Nodes that each node passes fresh news on to.
+constexpr size_t SpreadFanout = 3;
+constexpr int TicksPerPeriod = 5;
+
+} // namespace
+
+PeerService::PeerService(Member self, const DetectorSettings &detector,
+                         const TransportSettings &transport,
+                         PeerHandlers wanted)
+    : Handlers(std::move(wanted)), Detector(std::move(self), detector),
+      TickPause(detector.Period / TicksPerPeriod),
+      Transport(transport, [this](std::string_view bytes) { receive(bytes); }) {
+}
+
+PeerService::~PeerService() { stop(); }
+
+leaf::result<void> PeerService::start() {
+  BOOST_LEAF_CHECK(Transport.start());
+  {
+    const std::lock_guard lock(Guard);
+    Detector.updateSelf(
+        [this](Member &it) { it.PeerAddress = Transport.address(); });
+  }
+  Ticker = std::thread([this] { run(); });
+  return {};
+}
+
+void PeerService::stop() {
+  if (!Ticker.joinable())
+    return;
+  {
+    const std::lock_guard lock(Guard);
+    Stopping = true;
+  }
+  Changed.notify_all();
+  Ticker.join();
+  sayGoodbye();
+  Transport.stop();
+}
+
+void PeerService::sayGoodbye() {
+  std::vector<Member> chosen;
+  std::string bytes;
+  {
+    const std::lock_guard lock(Guard);
+    chosen = Detector.randomAlive(SpreadFanout);
+    PeerMessage message = Detector.message(LeavingBackends{});
+    message.News.push_back({Detector.self(), MemberStatus::Left});
+    bytes = encode(message);
+  }
+  for (const Member &it : chosen)
+    Transport.send(it.PeerAddress, bytes);
+}
+
+void PeerService::addSeed(const std::string &address) {
+  const std::lock_guard lock(Guard);
+  Detector.addSeed(address);
+}
+
+void PeerService::announceProfiles(uint64_t revision, uint64_t hash) {
+  const std::lock_guard lock(Guard);
+  Detector.updateSelf([&](Member &it) {
+    it.ProfileRevision = revision;
+    it.ProfileHash = hash;
+  });
+}
+
+void PeerService::announceDraining() {
+  const std::lock_guard lock(Guard);
+  Detector.updateSelf([](Member &it) { it.Draining = true; });
+}
+
+void PeerService::announceHttpAddress(const std::string &address) {
+  const std::lock_guard lock(Guard);
+  Detector.updateSelf([&](Member &it) { it.HttpAddress = address; });
+}
+
+void PeerService::run() {
+  std::unique_lock lock(Guard);
+  while (!Stopping) {
+    const TickFindings findings = Detector.tick(clock::steadyNow());
+    lock.unlock();
+    if (findings.WasFrozen)
+      Handlers.wasFrozen();
+    for (const std::string &it : findings.NewlyDead)
+      log::write(log::Level::Warn, "member_dead", {{"member", it}});
+    send(findings.Outgoing);
+    lock.lock();
+    Changed.wait_for(lock, absl::ToChronoMilliseconds(TickPause),
+                     [this] { return Stopping; });
+  }
+}
+
+void PeerService::send(const std::vector<OutgoingMessage> &messages) {
+  for (const OutgoingMessage &it : messages)
+    Transport.send(it.Address, encode(it.Message));
+}
+
+void PeerService::sendBody(const std::string &address, PeerBody body) {
+  std::string bytes;
+  {
+    const std::lock_guard lock(Guard);
+    bytes = encode(Detector.message(std::move(body)));
+  }
+  Transport.send(address, std::move(bytes));
+}
+
+void PeerService::sendToSome(const PeerBody &body) {
+  std::vector<Member> chosen;
+  {
+    const std::lock_guard lock(Guard);
+    chosen = Detector.randomAlive(SpreadFanout);
+  }
+  for (const Member &it : chosen)
+    sendBody(it.PeerAddress, body);
+}
+
+void PeerService::receive(std::string_view bytes) {
+  const std::optional<PeerMessage> message = decode(bytes);
+  if (!message.has_value())
+    return;
+  std::vector<OutgoingMessage> replies;
+  {
+    const std::lock_guard lock(Guard);
+    replies = Detector.receive(*message, clock::steadyNow());
+    ++News;
+  }
+  Changed.notify_all();
+  send(replies);
+  std::visit([&](const auto &it) { handle(*message, it); }, message->Body);
+  catchUp(message->From);
+}
+
+void PeerService::catchUp(const Member &from) {
+  uint64_t own = 0;
+  {
+    const std::lock_guard lock(Guard);
+    own = Detector.self().ProfileRevision;
+  }
+  // A message that carries records has just been handled; what is still
+  // missing after it has to be asked for.
+  if (from.ProfileRevision > own)
+    sendBody(from.PeerAddress, ProfileRequest{own});
+}
+
+void PeerService::handle(const PeerMessage &message,
+                         const ProfileRequest &body) {
+  sendBody(message.From.PeerAddress, Handlers.giveProfiles(body.After));
+}
+
+void PeerService::handle(const PeerMessage &, const ProfileRecords &body) {
+  const uint64_t before = self().ProfileRevision;
+  Handlers.takeProfiles(body);
+  const uint64_t after = self().ProfileRevision;
+  if (!body.ConfirmTo.empty())
+    sendBody(body.ConfirmTo, ProfileConfirm{after});
+  if (after > before && !body.ConfirmTo.empty())
+    sendToSome(body);
+}
+
+void PeerService::handle(const PeerMessage &, const LeavingBackends &body) {
+  const std::vector<std::string> fresh = Handlers.takeLeaving(body.Ids);
+  if (!fresh.empty())
+    sendToSome(LeavingBackends{fresh});
+}
+
+void PeerService::spread(const ProfileRecords &records) { sendToSome(records); }
+
+void PeerService::spreadLeaving(const std::vector<std::string> &ids) {
+  if (!ids.empty())
+    sendToSome(LeavingBackends{ids});
+}
+
+void PeerService::sendTo(const std::vector<std::string> &names,
+                         const ProfileRecords &records) {
+  for (const MemberView &it : members())
+    for (const std::string &name : names)
+      if (it.Self.Name == name)
+        sendBody(it.Self.PeerAddress, records);
+}
+
+void PeerService::requestProfiles(uint64_t after) {
+  std::vector<Member> chosen;
+  {
+    const std::lock_guard lock(Guard);
+    chosen = Detector.randomAlive(1);
+  }
+  if (!chosen.empty())
+    sendBody(chosen.front().PeerAddress, ProfileRequest{after});
+}
+
+Member PeerService::self() const {
+  const std::lock_guard lock(Guard);
+  return Detector.self();
+}
+
+std::vector<MemberView> PeerService::members() const {
+  const std::lock_guard lock(Guard);
+  return Detector.members();
+}
+
+absl::Duration PeerService::statusAge(std::string_view name,
+                                      absl::Time now) const {
+  const std::lock_guard lock(Guard);
+  return now - Detector.statusSince(name).value_or(now);
+}
+
+bool PeerService::isZoneLeader() const {
+  const std::lock_guard lock(Guard);
+  return Detector.isZoneLeader();
+}
+
+void PeerService::waitForNews(absl::Duration bound) {
+  std::unique_lock lock(Guard);
+  const uint64_t seen = News;
+  Changed.wait_for(lock, absl::ToChronoMilliseconds(bound),
+                   [&] { return News != seen || Stopping; });
+}
+
+} // namespace orioletally::drivers::peer
--- /dev/null
+++ b/drivers/peer/peer_transport.cpp
@@ -0,0 +1,211 @@
+#include "drivers/peer/peer_transport.h"
+
+#include "drivers/clock/clock.h"
+
+#include <array>
+#include <cstring>
+#include <fmt/format.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+#include <utility>
+#include <vector>
+
+namespace leaf = boost::leaf;
+
+namespace orioletally::drivers::peer {
+
+namespace {
+
+constexpr size_t KeyLength = 40;
+constexpr size_t RawKeyLength = 32;
+constexpr int QueuedPerPeer = 64;
+constexpr size_t MaxQueued = 4096;
+constexpr int64_t MaxMessageBytes = 16 << 20;
+/// How long a closing socket tries to send what it holds.
+constexpr int LingerMs = 100;
+/// A connection that answers no heartbeat is dropped and opened anew.
+constexpr int HeartbeatMs = 1000;
+constexpr int HeartbeatTimeoutMs = 3000;
+constexpr auto PollBound = std::chrono::milliseconds(1000);
+constexpr absl::Duration IdleBound = absl::Seconds(60);
+constexpr const char *AuthenticatorEndpoint = "inproc://zeromq.zap.01";
+/// Frames of a ZAP request, RFC 27, up to the CURVE credentials.
+constexpr size_t ZapRequestFrames = 7;
+
+} // namespace
+
+PeerTransport::PeerTransport(const TransportSettings &wanted, Handler receive)
+    : Settings(wanted), Receive(std::move(receive)),
+      WakeFd(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {}
+
+PeerTransport::~PeerTransport() {
+  stop();
+  ::close(WakeFd);
+}
+
+leaf::result<void> PeerTransport::start() {
+  try {
+    if (!Settings.SecretKey.empty()) {
+      if (Settings.SecretKey.size() != KeyLength)
+        return leaf::new_error(
+            TransportError{"the key must have 40 characters of Z85"});
+      std::array<char, KeyLength + 1> buf{};
+      if (zmq_curve_public(buf.data(), Settings.SecretKey.c_str()) != 0)
+        return leaf::new_error(TransportError{"the key isn't Z85"});
+      PublicKey = buf.data();
+      Authenticator = zmq::socket_t(Context, zmq::socket_type::rep);
+      Authenticator.bind(AuthenticatorEndpoint);
+    }
+    Inbound = zmq::socket_t(Context, zmq::socket_type::pull);
+    Inbound.set(zmq::sockopt::linger, 0);
+    Inbound.set(zmq::sockopt::maxmsgsize, MaxMessageBytes);
+    if (!PublicKey.empty()) {
+      Inbound.set(zmq::sockopt::curve_server, 1);
+      Inbound.set(zmq::sockopt::curve_secretkey, Settings.SecretKey);
+      Inbound.set(zmq::sockopt::zap_domain, "peers");
+    }
+    const std::string port =
+        Settings.Port == 0 ? "*" : std::to_string(Settings.Port);
+    Inbound.bind(fmt::format("tcp://{}:{}", Settings.Address, port));
+    const std::string bound = Inbound.get(zmq::sockopt::last_endpoint);
+    OwnAddress = bound.substr(std::strlen("tcp://"));
+  } catch (const zmq::error_t &ec) {
+    return leaf::new_error(TransportError{
+        fmt::format("{}:{}: {}", Settings.Address, Settings.Port, ec.what())});
+  }
+  Worker = std::thread([this] { run(); });
+  return {};
+}
+
+void PeerTransport::stop() {
+  if (!Worker.joinable())
+    return;
+  Stopping = true;
+  const uint64_t one = 1;
+  [[maybe_unused]] const ssize_t n = ::write(WakeFd, &one, sizeof(one));
+  Worker.join();
+}
+
+void PeerTransport::send(const std::string &address, std::string bytes) {
+  {
+    const std::lock_guard lock(Guard);
+    if (Queue.size() >= MaxQueued)
+      return;
+    Queue.push_back({address, std::move(bytes)});
+  }
+  const uint64_t one = 1;
+  [[maybe_unused]] const ssize_t n = ::write(WakeFd, &one, sizeof(one));
+}
+
+void PeerTransport::run() {
+  while (!Stopping) {
+    std::vector<zmq::pollitem_t> items = {{nullptr, WakeFd, ZMQ_POLLIN, 0},
+                                          {Inbound.handle(), 0, ZMQ_POLLIN, 0}};
+    if (Authenticator)
+      items.push_back({Authenticator.handle(), 0, ZMQ_POLLIN, 0});
+    try {
+      zmq::poll(items, PollBound);
+      uint64_t ignored = 0;
+      [[maybe_unused]] const ssize_t n =
+          ::read(WakeFd, &ignored, sizeof(ignored));
+      if (Authenticator)
+        answerAuthentication();
+      receiveAll();
+      sendQueued();
+      closeIdle();
+    } catch (const zmq::error_t &) {
+      // An interrupted call is tried again on the next round.
+    }
+  }
+  sendQueued();
+  Outbounds.clear();
+  Inbound.close();
+  if (Authenticator)
+    Authenticator.close();
+}
+
+void PeerTransport::receiveAll() {
+  zmq::message_t message;
+  while (Inbound.recv(message, zmq::recv_flags::dontwait)) {
+    Counts.Received += message.size();
+    Receive(message.to_string_view());
+  }
+}
+
+void PeerTransport::sendQueued() {
+  std::deque<Letter> letters;
+  {
+    const std::lock_guard lock(Guard);
+    letters.swap(Queue);
+  }
+  for (const Letter &it : letters) {
+    const auto n = outbound(it.Address)
+                       .send(zmq::buffer(it.Bytes), zmq::send_flags::dontwait);
+    if (n.has_value())
+      Counts.Sent += it.Bytes.size();
+  }
+}
+
+zmq::socket_t &PeerTransport::outbound(const std::string &address) {
+  const absl::Time now = clock::steadyNow();
+  const auto found = Outbounds.find(address);
+  if (found != Outbounds.end()) {
+    found->second.LastUse = now;
+    return found->second.Socket;
+  }
+  zmq::socket_t socket(Context, zmq::socket_type::push);
+  socket.set(zmq::sockopt::linger, LingerMs);
+  socket.set(zmq::sockopt::sndhwm, QueuedPerPeer);
+  socket.set(zmq::sockopt::heartbeat_ivl, HeartbeatMs);
+  socket.set(zmq::sockopt::heartbeat_timeout, HeartbeatTimeoutMs);
+  if (!PublicKey.empty()) {
+    socket.set(zmq::sockopt::curve_serverkey, PublicKey);
+    socket.set(zmq::sockopt::curve_publickey, PublicKey);
+    socket.set(zmq::sockopt::curve_secretkey, Settings.SecretKey);
+  }
+  socket.connect(fmt::format("tcp://{}", address));
+  const auto entry =
+      Outbounds.emplace(address, Outbound{std::move(socket), now});
+  return entry.first->second.Socket;
+}
+
+void PeerTransport::answerAuthentication() {
+  std::vector<zmq::message_t> frames;
+  zmq::message_t frame;
+  while (Authenticator.recv(frame, zmq::recv_flags::dontwait)) {
+    const bool isMore = frame.more();
+    frames.push_back(std::move(frame));
+    if (isMore)
+      continue;
+    std::array<uint8_t, RawKeyLength> expected{};
+    zmq_z85_decode(expected.data(), PublicKey.c_str());
+    const bool isKnown = frames.size() >= ZapRequestFrames &&
+                         frames[ZapRequestFrames - 1].size() == RawKeyLength &&
+                         std::memcmp(frames[ZapRequestFrames - 1].data(),
+                                     expected.data(), RawKeyLength) == 0;
+    if (!isKnown)
+      ++Counts.Strangers;
+    const std::string requestId =
+        frames.size() > 1 ? frames[1].to_string() : std::string();
+    const std::array<std::string, 6> reply = {"1.0",
+                                              requestId,
+                                              isKnown ? "200" : "400",
+                                              isKnown ? "OK" : "unknown key",
+                                              "node",
+                                              ""};
+    for (size_t n = 0; n < reply.size(); ++n)
+      Authenticator.send(zmq::buffer(reply[n]), n + 1 < reply.size()
+                                                    ? zmq::send_flags::sndmore
+                                                    : zmq::send_flags::none);
+    frames.clear();
+  }
+}
+
+void PeerTransport::closeIdle() {
+  const absl::Time now = clock::steadyNow();
+  absl::erase_if(Outbounds, [&](const auto &it) {
+    return now - it.second.LastUse > IdleBound;
+  });
+}
+
+} // namespace orioletally::drivers::peer
--- /dev/null
+++ b/drivers/peer/peer_transport.h
@@ -0,0 +1,101 @@
+#ifndef ORIOLETALLY_DRIVERS_PEER_PEER_TRANSPORT_H
+#define ORIOLETALLY_DRIVERS_PEER_PEER_TRANSPORT_H
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/time/time.h>
+#include <atomic>
+#include <boost/leaf.hpp>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <zmq.hpp>
+
+namespace orioletally::drivers::peer {
+
+/// The transport can't be set up.
+struct TransportError {
+  std::string Reason;
+};
+
+/// Parameters of a PeerTransport.
+struct TransportSettings {
+  std::string Address = "127.0.0.1";
+  /// 0 takes a free port.
+  int Port = 0;
+  /// Secret key that all nodes share, 40 characters of Z85; empty turns
+  /// encryption and the refusal of strangers off.
+  std::string SecretKey;
+};
+
+/// How many bytes went to and came from other nodes.
+struct TransportCounts {
+  std::atomic<uint64_t> Sent = 0;
+  std::atomic<uint64_t> Received = 0;
+  std::atomic<uint64_t> Strangers = 0;
+};
+
+/// Carries whole messages between entry nodes over ZeroMQ. One thread owns all
+/// sockets. A message that can't be sent at once is dropped; whoever needs it
+/// to arrive asks again.
+class PeerTransport {
+public:
+  using Handler = std::function<void(std::string_view bytes)>;
+
+  PeerTransport(const TransportSettings &wanted, Handler receive);
+  ~PeerTransport();
+  PeerTransport(const PeerTransport &) = delete;
+  PeerTransport &operator=(const PeerTransport &) = delete;
+
+  /// Binds and starts the thread, which calls the handler.
+  boost::leaf::result<void> start();
+  void stop();
+
+  /// Queues \p bytes for the node at \p address ("ip:port"). Any thread.
+  void send(const std::string &address, std::string bytes);
+
+  /// "ip:port" that other nodes reach this one under, after start().
+  const std::string &address() const { return OwnAddress; }
+
+  const TransportCounts &counts() const { return Counts; }
+
+private:
+  struct Outbound {
+    zmq::socket_t Socket;
+    absl::Time LastUse;
+  };
+  struct Letter {
+    std::string Address;
+    std::string Bytes;
+  };
+
+  void run();
+  void receiveAll();
+  void sendQueued();
+  void answerAuthentication();
+  void closeIdle();
+  zmq::socket_t &outbound(const std::string &address);
+
+  TransportSettings Settings;
+  Handler Receive;
+  std::string PublicKey;
+  std::string OwnAddress;
+  TransportCounts Counts;
+
+  zmq::context_t Context;
+  zmq::socket_t Inbound;
+  zmq::socket_t Authenticator;
+  absl::flat_hash_map<std::string, Outbound> Outbounds;
+
+  std::mutex Guard;
+  std::deque<Letter> Queue;
+  int WakeFd = -1;
+  std::atomic<bool> Stopping = false;
+  std::thread Worker;
+};
+
+} // namespace orioletally::drivers::peer
+
+#endif
--- /dev/null
+++ b/drivers/platform/http_table_service.cpp
@@ -0,0 +1,133 @@
+#include "drivers/platform/http_table_service.h"
+
+#include "drivers/http/http_exchange.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace leaf = boost::leaf;
+
+namespace orioletally::drivers::platform {
+
+namespace {
+
+using core::platform::TableCommit;
+using core::platform::TableCondition;
+using core::platform::TableError;
+using core::platform::TableFailure;
+using core::platform::TableRow;
+using core::platform::TableTransaction;
+using core::platform::TableWrite;
+using nlohmann::json;
+
+constexpr int StatusOk = 200;
+constexpr int StatusConflict = 409;
+
+leaf::error_id unavailable(std::string detail) {
+  return leaf::new_error(
+      TableError{TableFailure::Unavailable, std::move(detail)});
+}
+
+std::optional<TableRow> rowFrom(const json &object) {
+  if (!object.is_object() || !object.contains("key"))
+    return std::nullopt;
+  TableRow row;
+  row.Key = object.value("key", std::string());
+  row.Version = object.value("version", uint64_t{0});
+  row.Value = object.value("value", std::string());
+  return row;
+}
+
+json toJson(const TableTransaction &transaction) {
+  json conditions = json::array();
+  for (const TableCondition &it : transaction.Conditions)
+    conditions.push_back({{"key", it.Key}, {"version", it.Version}});
+  json writes = json::array();
+  for (const TableWrite &it : transaction.Writes) {
+    json entry = {{"key", it.Key}};
+    entry["value"] = it.Value.has_value() ? json(*it.Value) : json(nullptr);
+    writes.push_back(std::move(entry));
+  }
+  return {{"conditions", conditions}, {"writes", writes}};
+}
+
+std::string encoded(std::string_view text) {
+  return httplib::detail::encode_query_param(std::string(text));
+}
+
+} // namespace
+
+HttpTableService::HttpTableService(std::string address, absl::Duration bound)
+    : Address(std::move(address)), Bound(bound) {}
+
+leaf::result<std::string> HttpTableService::get(const std::string &path) {
+  ++Counts.Reads;
+  http::ExchangeRequest request;
+  request.Address = Address;
+  request.Method = "GET";
+  request.Path = path;
+  request.Connect = Bound;
+  std::string body;
+  const http::ExchangeEnd end =
+      http::exchangeWithin(std::move(request), Bound, body);
+  if (!end.Whole || end.Status != StatusOk) {
+    ++Counts.Failures;
+    return unavailable(
+        fmt::format("read: status {} {}", end.Status, end.Error));
+  }
+  return body;
+}
+
+leaf::result<std::optional<TableRow>>
+HttpTableService::read(std::string_view key) {
+  BOOST_LEAF_AUTO(body, get(fmt::format("/v1/row?key={}", encoded(key))));
+  const json object = json::parse(body, nullptr, false);
+  if (!object.is_object() || !object.contains("row"))
+    return unavailable("read: the answer can't be read");
+  return rowFrom(object["row"]);
+}
+
+leaf::result<std::vector<TableRow>>
+HttpTableService::scan(std::string_view prefix, std::string_view after,
+                       int limit) {
+  BOOST_LEAF_AUTO(body,
+                  get(fmt::format("/v1/rows?prefix={}&after={}&limit={}",
+                                  encoded(prefix), encoded(after), limit)));
+  const json object = json::parse(body, nullptr, false);
+  if (!object.is_object() || !object.contains("rows"))
+    return unavailable("scan: the answer can't be read");
+  std::vector<TableRow> rows;
+  for (const json &it : object["rows"])
+    if (auto row = rowFrom(it))
+      rows.push_back(*std::move(row));
+  return rows;
+}
+
+leaf::result<TableCommit>
+HttpTableService::commit(const TableTransaction &transaction) {
+  ++Counts.Writes;
+  http::ExchangeRequest request;
+  request.Address = Address;
+  request.Method = "POST";
+  request.Path = "/v1/transactions";
+  request.Body = toJson(transaction).dump();
+  request.Connect = Bound;
+  std::string body;
+  const http::ExchangeEnd end =
+      http::exchangeWithin(std::move(request), Bound, body);
+  const json object = json::parse(body, nullptr, false);
+  const bool isAnswer = end.Whole && object.is_object();
+  if (isAnswer && end.Status == StatusOk)
+    return TableCommit{true, object.value("version", uint64_t{0}), "", 0};
+  if (isAnswer && end.Status == StatusConflict)
+    return TableCommit{false, 0, object.value("key", std::string()),
+                       object.value("version", uint64_t{0})};
+  ++Counts.Failures;
+  const TableFailure failure =
+      end.Written ? TableFailure::OutcomeUnknown : TableFailure::Unavailable;
+  return leaf::new_error(TableError{
+      failure, fmt::format("commit: status {} {}", end.Status, end.Error)});
+}
+
+} // namespace orioletally::drivers::platform
--- /dev/null
+++ b/drivers/platform/http_table_service.h
@@ -0,0 +1,44 @@
+#ifndef ORIOLETALLY_DRIVERS_PLATFORM_HTTP_TABLE_SERVICE_H
+#define ORIOLETALLY_DRIVERS_PLATFORM_HTTP_TABLE_SERVICE_H
+
+#include "core/platform/table_service.h"
+
+#include <absl/time/time.h>
+#include <atomic>
+#include <string>
+
+namespace orioletally::drivers::platform {
+
+/// How many calls this node made to the table service, for its budget.
+struct TableCallCounts {
+  std::atomic<uint64_t> Reads = 0;
+  std::atomic<uint64_t> Writes = 0;
+  std::atomic<uint64_t> Failures = 0;
+};
+
+/// Speaks the table service's HTTP protocol. Each call has a connection of its
+/// own and ends within the bound.
+class HttpTableService : public core::platform::TableService {
+public:
+  HttpTableService(std::string address, absl::Duration bound);
+
+  boost::leaf::result<std::optional<core::platform::TableRow>>
+  read(std::string_view key) override;
+  boost::leaf::result<std::vector<core::platform::TableRow>>
+  scan(std::string_view prefix, std::string_view after, int limit) override;
+  boost::leaf::result<core::platform::TableCommit>
+  commit(const core::platform::TableTransaction &transaction) override;
+
+  const TableCallCounts &counts() const { return Counts; }
+
+private:
+  boost::leaf::result<std::string> get(const std::string &path);
+
+  std::string Address;
+  absl::Duration Bound;
+  TableCallCounts Counts;
+};
+
+} // namespace orioletally::drivers::platform
+
+#endif
--- /dev/null
+++ b/main/node.cpp
@@ -0,0 +1,312 @@
+#include "main/node.h"
+
+#include "charts/embedded_charts.h"
+#include "core/charts/state_chart.h"
+#include "drivers/backend/http_engine_client.h"
+#include "drivers/backend/http_service_client.h"
+#include "drivers/clock/clock.h"
+#include "drivers/gateway/caller_api.h"
+#include "drivers/gateway/fleet_poller.h"
+#include "drivers/gateway/http_reply.h"
+#include "drivers/gateway/operator_api.h"
+#include "drivers/log/log.h"
+#include "drivers/platform/http_table_service.h"
+#include "drivers/platform/http_vm_list.h"
+#include "main/settings.h"
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/str_format.h>
+#include <cstdlib>
+#include <fmt/format.h>
+#include <random>
+#include <utility>
+
+namespace leaf = boost::leaf;
+
+namespace orioletally::main {
+
+namespace {
+
+using core::charts::StateChart;
+using core::fields::FieldValues;
+using drivers::gateway::CallerTokens;
+
+constexpr size_t JournalCapacity = 4096;
+constexpr size_t BackgroundThreads = 8;
+constexpr size_t BackgroundCapacity = 4096;
+constexpr absl::Duration FreshBound = absl::Seconds(1);
+constexpr absl::Duration DrainStep = absl::Milliseconds(100);
+/// Time for cut off requests to tell their callers.
+constexpr absl::Duration CutOffBound = absl::Seconds(5);
+constexpr double Percent = 0.01;
+
+absl::Duration milliseconds(const FieldValues &settings, std::string_view key) {
+  return absl::Milliseconds(settings.integer(key));
+}
+
+drivers::http::HttpServerSettings serverSettings(const FieldValues &settings) {
+  drivers::http::HttpServerSettings result;
+  result.Address = settings.text("http.address");
+  result.Port = static_cast<int>(settings.integer("http.port"));
+  result.MaxConnections =
+      static_cast<size_t>(settings.integer("http.max_streams") +
+                          settings.integer("http.operator_reserve"));
+  result.MaxBodyBytes =
+      static_cast<size_t>(settings.integer("http.max_body_bytes"));
+  result.RequestBound = milliseconds(settings, "http.request_ms");
+  result.WriteBound = milliseconds(settings, "http.write_ms");
+  result.IdleBound = milliseconds(settings, "http.idle_ms");
+  return result;
+}
+
+core::routing::RouterSettings routerSettings(const FieldValues &settings) {
+  core::routing::RouterSettings result;
+  result.ReportLag = milliseconds(settings, "routing.report_lag_ms");
+  result.RetryShare =
+      Percent *
+      static_cast<double>(settings.integer("routing.retry_share_percent"));
+  result.RetryReserve =
+      static_cast<double>(settings.integer("routing.retry_reserve"));
+  result.Seed = std::random_device{}();
+  return result;
+}
+
+core::membership::Member selfFrom(const FieldValues &settings,
+                                  uint64_t incarnation) {
+  core::membership::Member self;
+  self.Name = settings.text("node.name");
+  self.Zone = settings.text("node.zone");
+  self.Region = settings.text("node.region");
+  self.Incarnation = incarnation;
+  self.FieldsHash = core::profiles::profileFields().hash();
+  return self;
+}
+
+core::membership::DetectorSettings
+detectorSettings(const FieldValues &settings) {
+  core::membership::DetectorSettings result;
+  result.Period = milliseconds(settings, "peer.period_ms");
+  result.Seed = std::random_device{}();
+  return result;
+}
+
+drivers::peer::TransportSettings transportSettings(const FieldValues &settings,
+                                                   std::string key) {
+  drivers::peer::TransportSettings result;
+  result.Address = settings.text("peer.address");
+  result.Port = static_cast<int>(settings.integer("peer.port"));
+  result.SecretKey = std::move(key);
+  return result;
+}
+
+drivers::gateway::PollerSettings pollerSettings(const FieldValues &settings) {
+  drivers::gateway::PollerSettings result;
+  result.VmListPoll = milliseconds(settings, "platform.vm_list_poll_ms");
+  result.ProfilePoll = milliseconds(settings, "profiles.poll_ms");
+  result.ProfileBackstop = milliseconds(settings, "profiles.backstop_ms");
+  return result;
+}
+
+leaf::result<std::string> tokensText(const FieldValues &settings) {
+  const std::string &variable = settings.text("auth.tokens_env");
+  if (!variable.empty()) {
+    const char *text = std::getenv(variable.c_str());
+    if (text == nullptr)
+      return leaf::new_error(NodeError{
+          fmt::format("environment variable {} isn't set", variable)});
+    return std::string(text);
+  }
+  const std::string &file = settings.text("auth.tokens_file");
+  if (file.empty())
+    return leaf::new_error(
+        NodeError{"expected auth.tokens_file or auth.tokens_env"});
+  return readFile(file);
+}
+
+leaf::result<CallerTokens> readTokens(const FieldValues &settings) {
+  BOOST_LEAF_AUTO(text, tokensText(settings));
+  return CallerTokens::parse(text);
+}
+
+leaf::result<std::string> readPeerKey(const FieldValues &settings) {
+  const std::string &file = settings.text("peer.key_file");
+  if (file.empty())
+    return std::string();
+  BOOST_LEAF_AUTO(text, readFile(file));
+  return std::string(absl::StripAsciiWhitespace(text));
+}
+
+} // namespace
+
+/// Every part of a node, in an order in which each outlives those after it.
+struct Node::Parts {
+  Parts(FieldValues values, uint64_t incarnation, CallerTokens tokens,
+        std::string peerKey, StateChart chart)
+      : Settings(std::move(values)), Tokens(std::move(tokens)),
+        RequestChart(std::move(chart)),
+        Owner(
+            absl::StrFormat("%s/%x", Settings.text("node.name"), incarnation)),
+        Table(Settings.text("platform.address"),
+              milliseconds(Settings, "platform.timeout_ms")),
+        VmList(Settings.text("platform.address"),
+               milliseconds(Settings, "platform.timeout_ms")),
+        Freshness(FreshBound), Router(routerSettings(Settings), Freshness),
+        Gate(Settings.integer("http.max_streams")), Journal(JournalCapacity),
+        Sync(Table, Profiles, Metrics),
+        Peers(selfFrom(Settings, incarnation), detectorSettings(Settings),
+              transportSettings(Settings, std::move(peerKey)), peerHandlers()),
+        Changes(Table, Sync, Peers),
+        Poller(pollerSettings(Settings), VmList, Table, Sync, Changes, Router,
+               Peers, Freshness),
+        Background(BackgroundThreads, BackgroundCapacity),
+        Runner{Engines, Router, RequestChart, Background, Gate, Metrics, Owner},
+        Service{Services,
+                Table,
+                Router,
+                Background,
+                Owner,
+                milliseconds(Settings, "claims.send_ms"),
+                drivers::clock::steadyNow},
+        CallerParts{Tokens,
+                    Profiles,
+                    Journal,
+                    Runner,
+                    Service,
+                    Settings.integer("prompts.bytes_per_token"),
+                    Settings.text("node.name"),
+                    incarnation,
+                    [this] { return isReady(); }},
+        OperatorParts{Tokens,
+                      Profiles,
+                      Changes,
+                      Journal,
+                      Gate,
+                      Router,
+                      Peers,
+                      Metrics,
+                      Table.counts(),
+                      milliseconds(Settings, "profiles.accept_wait_ms"),
+                      [this] { return isReady(); }},
+        Callers(CallerParts), Operators(OperatorParts),
+        Server(serverSettings(Settings)) {
+    Sync.setPeers(&Peers);
+  }
+
+  bool isReady() const {
+    return Profiles.isLoaded() && Poller.hasVmList() &&
+           Freshness.isFresh(drivers::clock::steadyNow());
+  }
+
+  drivers::peer::PeerHandlers peerHandlers() {
+    drivers::peer::PeerHandlers handlers;
+    handlers.takeProfiles = [this](const auto &records) {
+      Sync.takeRecords(records);
+    };
+    handlers.giveProfiles = [this](uint64_t after) {
+      return Sync.recordsAfter(after);
+    };
+    handlers.takeLeaving = [this](const std::vector<std::string> &ids) {
+      return Router.markLeaving(ids, drivers::clock::steadyNow());
+    };
+    handlers.wasFrozen = [] {};
+    return handlers;
+  }
+
+  FieldValues Settings;
+  CallerTokens Tokens;
+  StateChart RequestChart;
+  std::string Owner;
+  drivers::metrics::NodeMetrics Metrics;
+  drivers::platform::HttpTableService Table;
+  drivers::platform::HttpVmList VmList;
+  drivers::backend::HttpEngineClient Engines;
+  drivers::backend::HttpServiceClient Services;
+  drivers::gateway::ViewFreshness Freshness;
+  drivers::gateway::SharedRouter Router;
+  drivers::gateway::NodeGate Gate;
+  drivers::gateway::RequestJournal Journal;
+  drivers::gateway::ProfileView Profiles;
+  drivers::gateway::ProfileSync Sync;
+  drivers::peer::PeerService Peers;
+  drivers::gateway::ProfileChanges Changes;
+  drivers::gateway::FleetPoller Poller;
+  drivers::gateway::BackgroundCalls Background;
+  drivers::gateway::RunnerContext Runner;
+  drivers::gateway::ServiceContext Service;
+  drivers::gateway::CallerContext CallerParts;
+  drivers::gateway::OperatorContext OperatorParts;
+  drivers::gateway::CallerApi Callers;
+  drivers::gateway::OperatorApi Operators;
+  drivers::http::HttpServer Server;
+};
+
+Node::Node(std::unique_ptr<Parts> built) : All(std::move(built)) {}
+
+Node::~Node() {
+  All->Server.stop();
+  All->Poller.stop();
+  All->Peers.stop();
+}
+
+leaf::result<void> Node::start() {
+  BOOST_LEAF_CHECK(All->Peers.start());
+  for (const std::string &it : All->Settings.list("peer.seeds"))
+    All->Peers.addSeed(it);
+  All->Callers.registerRoutes(All->Server);
+  All->Operators.registerRoutes(All->Server);
+  All->Server.set_error_handler(
+      [](const httplib::Request &request, httplib::Response &response) {
+        drivers::gateway::replyLibraryError(request, response);
+      });
+  BOOST_LEAF_CHECK(All->Server.start());
+  All->Peers.announceHttpAddress(httpAddress());
+  All->Poller.start();
+  drivers::log::write(drivers::log::Level::Info, "serving",
+                      {{"http", httpAddress()},
+                       {"peer", All->Peers.address()},
+                       {"zone", All->Settings.text("node.zone")}});
+  return {};
+}
+
+std::string Node::httpAddress() const {
+  return fmt::format("{}:{}", All->Settings.text("http.address"),
+                     All->Server.port());
+}
+
+bool Node::drain(const std::function<bool()> &isUrgent) {
+  All->Gate.beginDrain();
+  All->Peers.announceDraining();
+  drivers::log::write(drivers::log::Level::Info, "draining",
+                      {{"in_progress", All->Gate.inProgress()}});
+  const absl::Time until = drivers::clock::steadyNow() +
+                           milliseconds(All->Settings, "node.drain_ms");
+  while (!All->Gate.waitIdle(DrainStep)) {
+    if (drivers::clock::steadyNow() < until && !isUrgent())
+      continue;
+    All->Gate.cutOff();
+    All->Gate.waitIdle(CutOffBound);
+    return false;
+  }
+  return true;
+}
+
+NodeBuilder &NodeBuilder::settings(FieldValues values) {
+  Settings = std::move(values);
+  return *this;
+}
+
+NodeBuilder &NodeBuilder::incarnation(uint64_t n) {
+  Incarnation = n;
+  return *this;
+}
+
+leaf::result<std::unique_ptr<Node>> NodeBuilder::build() const {
+  BOOST_LEAF_AUTO(chart, charts::requestChart());
+  BOOST_LEAF_AUTO(tokens, readTokens(Settings));
+  BOOST_LEAF_AUTO(peerKey, readPeerKey(Settings));
+  return std::unique_ptr<Node>(new Node(
+      std::make_unique<Node::Parts>(Settings, Incarnation, std::move(tokens),
+                                    std::move(peerKey), std::move(chart))));
+}
+
+} // namespace orioletally::main
--- /dev/null
+++ b/main/node.h
@@ -0,0 +1,59 @@
+#ifndef ORIOLETALLY_MAIN_NODE_H
+#define ORIOLETALLY_MAIN_NODE_H
+
+#include "core/fields/field_table.h"
+
+#include <boost/leaf.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace orioletally::main {
+
+/// The node can't start.
+struct NodeError {
+  std::string Reason;
+};
+
+/// One entry node: everything between its settings and its sockets.
+class Node {
+public:
+  ~Node();
+  Node(const Node &) = delete;
+  Node &operator=(const Node &) = delete;
+
+  /// Starts to serve.
+  boost::leaf::result<void> start();
+
+  /// Refuses new requests and waits for those in progress, for at most the
+  /// drain bound or until \p isUrgent says so. Returns whether all ended by
+  /// themselves.
+  bool drain(const std::function<bool()> &isUrgent);
+
+  /// "ip:port" for callers, after start().
+  std::string httpAddress() const;
+
+private:
+  friend class NodeBuilder;
+  struct Parts;
+  explicit Node(std::unique_ptr<Parts> built);
+
+  std::unique_ptr<Parts> All;
+};
+
+/// Builds a node from its settings.
+class NodeBuilder {
+public:
+  NodeBuilder &settings(core::fields::FieldValues values);
+  NodeBuilder &incarnation(uint64_t n);
+  boost::leaf::result<std::unique_ptr<Node>> build() const;
+
+private:
+  core::fields::FieldValues Settings;
+  uint64_t Incarnation = 0;
+};
+
+} // namespace orioletally::main
+
+#endif
--- /dev/null
+++ b/main/operator_client.cpp
@@ -0,0 +1,45 @@
+#include "main/operator_client.h"
+
+#include "drivers/http/http_exchange.h"
+
+#include <fmt/format.h>
+#include <utility>
+
+namespace leaf = boost::leaf;
+
+namespace orioletally::main {
+
+namespace {
+constexpr absl::Duration ConnectBound = absl::Seconds(2);
+} // namespace
+
+OperatorClient::OperatorClient(std::string address, std::string token,
+                               absl::Duration bound)
+    : Address(std::move(address)), Token(std::move(token)), Bound(bound) {}
+
+leaf::result<OperatorAnswer>
+OperatorClient::call(OperatorRequest request) const {
+  drivers::http::ExchangeRequest exchange;
+  exchange.Address = Address;
+  exchange.Method = std::move(request.Method);
+  exchange.Path = std::move(request.Path);
+  exchange.Body = std::move(request.Body);
+  exchange.Headers = std::move(request.Headers);
+  exchange.Headers.emplace("Authorization", fmt::format("Bearer {}", Token));
+  exchange.Connect = ConnectBound;
+  std::string body;
+  const drivers::http::ExchangeEnd end =
+      drivers::http::exchangeWithin(std::move(exchange), Bound, body);
+  if (!end.Whole)
+    return leaf::new_error(
+        ClientError{fmt::format("{}: {}", Address, end.Error), end.Written});
+  OperatorAnswer answer;
+  answer.Status = end.Status;
+  answer.Body = nlohmann::json::parse(body, nullptr, false);
+  const auto tag = end.Headers.find("ETag");
+  if (tag != end.Headers.end())
+    answer.EntityTag = tag->second;
+  return answer;
+}
+
+} // namespace orioletally::main
--- /dev/null
+++ b/main/operator_client.h
@@ -0,0 +1,50 @@
+#ifndef ORIOLETALLY_MAIN_OPERATOR_CLIENT_H
+#define ORIOLETALLY_MAIN_OPERATOR_CLIENT_H
+
+#include <absl/time/time.h>
+#include <boost/leaf.hpp>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace orioletally::main {
+
+/// No usable answer came; `MayHaveRun` when the request may have arrived.
+struct ClientError {
+  std::string Reason;
+  bool MayHaveRun = false;
+};
+
+/// An answer of an entry node to an operator.
+struct OperatorAnswer {
+  int Status = 0;
+  std::string EntityTag;
+  nlohmann::json Body;
+
+  bool isGood() const { return Status >= 200 && Status < 300; }
+};
+
+/// One request of an operator.
+struct OperatorRequest {
+  std::string Method = "GET";
+  std::string Path;
+  std::string Body;
+  httplib::Headers Headers;
+};
+
+/// Calls the operators' HTTP interface of one entry node.
+class OperatorClient {
+public:
+  OperatorClient(std::string address, std::string token, absl::Duration bound);
+
+  boost::leaf::result<OperatorAnswer> call(OperatorRequest request) const;
+
+private:
+  std::string Address;
+  std::string Token;
+  absl::Duration Bound;
+};
+
+} // namespace orioletally::main
+
+#endif
--- /dev/null
+++ b/main/settings.cpp
@@ -0,0 +1,133 @@
+#include "main/settings.h"
+
+#include "main/toml_json.h"
+
+#include <array>
+#include <fmt/format.h>
+#include <fstream>
+#include <iterator>
+
+namespace leaf = boost::leaf;
+
+namespace orioletally::main {
+
+namespace {
+
+using core::fields::FieldError;
+using core::fields::FieldSpec;
+using core::fields::FieldTable;
+using core::fields::FieldType;
+using core::fields::FieldValues;
+
+constexpr std::array<FieldSpec, 31> Specs = {{
+    {"node.name", FieldType::Text, "", "", 1, 64, "",
+     "Name of this VM, unlike that of any other."},
+    {"node.zone", FieldType::Text, "", "", 1, 64, "",
+     "Availability zone of this VM."},
+    {"node.region", FieldType::Text, "", "\"default\"", 1, 64, "",
+     "Region that the availability zone belongs to."},
+    {"node.drain_ms", FieldType::Integer, "ms", "600000", 0, 7200000, "",
+     "Longest wait for requests in progress after SIGTERM."},
+    {"http.address", FieldType::Text, "", "\"127.0.0.1\"", 7, 45, "",
+     "IP number to listen on."},
+    {"http.port", FieldType::Integer, "", "8080", 0, 65535, "",
+     "Port to listen on; 0 takes a free one."},
+    {"http.max_streams", FieldType::Integer, "", "1000", 1, 20000, "",
+     "Requests of callers in progress at once."},
+    {"http.operator_reserve", FieldType::Integer, "", "64", 8, 1000, "",
+     "Connections kept for operators and health checks."},
+    {"http.max_body_bytes", FieldType::Integer, "bytes", "16777216", 1024,
+     67108864, "", "Largest request body."},
+    {"http.request_ms", FieldType::Integer, "ms", "10000", 100, 600000, "",
+     "Time for one whole request to arrive."},
+    {"http.write_ms", FieldType::Integer, "ms", "10000", 100, 600000, "",
+     "Longest wait for a caller to take more of an answer."},
+    {"http.idle_ms", FieldType::Integer, "ms", "5000", 100, 600000, "",
+     "Time that a connection may stay open between requests."},
+    {"auth.tokens_file", FieldType::Text, "", "\"\"", 0, 4096, "",
+     "TOML file with the bearer tokens of callers and operators."},
+    {"auth.tokens_env", FieldType::Text, "", "\"\"", 0, 256, "",
+     "Environment variable with the same text, in place of the file."},
+    {"platform.address", FieldType::Text, "", "", 3, 64, "",
+     "ip:port of the platform's table service and VM list."},
+    {"platform.timeout_ms", FieldType::Integer, "ms", "1500", 50, 30000, "",
+     "Bound on one call to the platform."},
+    {"platform.vm_list_poll_ms", FieldType::Integer, "ms", "1000", 100, 60000,
+     "", "Time between two reads of the VM list."},
+    {"profiles.poll_ms", FieldType::Integer, "ms", "500", 50, 60000, "",
+     "Time between two reads of the head revision by a zone's poller."},
+    {"profiles.backstop_ms", FieldType::Integer, "ms", "10000", 100, 600000, "",
+     "Time between two reads by the other nodes of the zone."},
+    {"profiles.accept_wait_ms", FieldType::Integer, "ms", "5000", 0, 60000, "",
+     "Longest wait of a change for every node before it is answered."},
+    {"routing.report_lag_ms", FieldType::Integer, "ms", "500", 0, 60000, "",
+     "How old an engine's load report may be when it arrives."},
+    {"routing.retry_share_percent", FieldType::Integer, "%", "10", 0, 100, "",
+     "Retries earned by a hundred requests that succeed."},
+    {"routing.retry_reserve", FieldType::Integer, "", "10", 0, 10000, "",
+     "Most retries that can be saved up."},
+    {"prompts.bytes_per_token", FieldType::Integer, "bytes", "4", 1, 16, "",
+     "Estimate of a prompt's tokens from its length."},
+    {"claims.send_ms", FieldType::Integer, "ms", "5000", 50, 60000, "",
+     "Longest time between claiming an unrepeatable call and sending it."},
+    {"peer.address", FieldType::Text, "", "\"127.0.0.1\"", 7, 45, "",
+     "IP number for traffic between entry nodes."},
+    {"peer.port", FieldType::Integer, "", "0", 0, 65535, "",
+     "Port for traffic between entry nodes; 0 takes a free one."},
+    {"peer.seeds", FieldType::TextList, "", "[]", 0, 0, "",
+     "ip:port of entry nodes to join through when the table is down."},
+    {"peer.key_file", FieldType::Text, "", "\"\"", 0, 4096, "",
+     "File with the secret that all entry nodes share; empty turns "
+     "encryption off."},
+    {"peer.period_ms", FieldType::Integer, "ms", "500", 20, 60000, "",
+     "Time between two probes of other entry nodes."},
+    {"log.level", FieldType::Choice, "", "\"info\"", 0, 0,
+     "debug,info,warn,error", "Least level that is written."},
+}};
+
+} // namespace
+
+std::string SettingsError::text() const {
+  std::string where = File;
+  if (Line > 0)
+    where += fmt::format(":{}", Line);
+  if (Key.empty())
+    return fmt::format("{}: {}", where, Reason);
+  return fmt::format("{}: {}: {}", where, Key, Reason);
+}
+
+const FieldTable &settingsFields() {
+  static const FieldTable table(Specs);
+  return table;
+}
+
+leaf::result<FieldValues> parseSettings(std::string_view text,
+                                        const std::string &file) {
+  FlatToml flat;
+  return leaf::try_handle_some(
+      [&]() -> leaf::result<FieldValues> {
+        BOOST_LEAF_ASSIGN(flat, flattenToml(text));
+        return settingsFields().read(flat.Object);
+      },
+      [&](const TomlError &ec) -> leaf::result<FieldValues> {
+        return leaf::new_error(SettingsError{file, ec.Line, "", ec.Reason});
+      },
+      [&](const FieldError &ec) -> leaf::result<FieldValues> {
+        return leaf::new_error(
+            SettingsError{file, flat.lineOf(ec.Key), ec.Key, ec.Reason});
+      });
+}
+
+leaf::result<std::string> readFile(const std::string &file) {
+  std::ifstream in(file, std::ios::binary);
+  if (!in)
+    return leaf::new_error(SettingsError{file, 0, "", "can't be read"});
+  return std::string(std::istreambuf_iterator<char>(in), {});
+}
+
+leaf::result<FieldValues> loadSettings(const std::string &file) {
+  BOOST_LEAF_AUTO(text, readFile(file));
+  return parseSettings(text, file);
+}
+
+} // namespace orioletally::main
--- /dev/null
+++ b/main/settings.h
@@ -0,0 +1,38 @@
+#ifndef ORIOLETALLY_MAIN_SETTINGS_H
+#define ORIOLETALLY_MAIN_SETTINGS_H
+
+#include "core/fields/field_table.h"
+
+#include <boost/leaf.hpp>
+#include <string>
+#include <string_view>
+
+namespace orioletally::main {
+
+/// A settings file that can't be used; `Line` is 0 when none is to blame.
+struct SettingsError {
+  std::string File;
+  int Line = 0;
+  std::string Key;
+  std::string Reason;
+
+  std::string text() const;
+};
+
+/// Returns the declarations of every setting.
+const core::fields::FieldTable &settingsFields();
+
+/// Reads settings from TOML \p text; \p file is named in errors.
+boost::leaf::result<core::fields::FieldValues>
+parseSettings(std::string_view text, const std::string &file);
+
+/// Reads a settings file.
+boost::leaf::result<core::fields::FieldValues>
+loadSettings(const std::string &file);
+
+/// Reads a whole file.
+boost::leaf::result<std::string> readFile(const std::string &file);
+
+} // namespace orioletally::main
+
+#endif
--- /dev/null
+++ b/main/toml_json.cpp
@@ -0,0 +1,71 @@
+#include "main/toml_json.h"
+
+#include <fmt/format.h>
+#include <toml++/toml.h>
+
+namespace leaf = boost::leaf;
+
+namespace orioletally::main {
+
+namespace {
+
+using nlohmann::json;
+
+json scalar(const toml::node &node) {
+  if (const auto it = node.value_exact<bool>())
+    return *it;
+  if (const auto it = node.value_exact<int64_t>())
+    return *it;
+  if (const auto it = node.value_exact<std::string>())
+    return *it;
+  if (const auto it = node.value_exact<double>())
+    return *it;
+  return nullptr;
+}
+
+json valueOf(const toml::node &node) {
+  const toml::array *items = node.as_array();
+  if (items == nullptr)
+    return scalar(node);
+  json result = json::array();
+  for (const toml::node &it : *items)
+    result.push_back(scalar(it));
+  return result;
+}
+
+/// Turns `[http] port = 1` into "http.port" and remembers the line.
+void flatten(const toml::table &table, const std::string &prefix,
+             FlatToml &flat) {
+  for (const auto &[key, node] : table) {
+    const std::string name = fmt::format("{}{}", prefix, key.str());
+    if (const toml::table *inner = node.as_table()) {
+      flatten(*inner, name + ".", flat);
+      continue;
+    }
+    flat.Object[name] = valueOf(node);
+    flat.Lines.push_back({name, static_cast<int>(key.source().begin.line)});
+  }
+}
+
+} // namespace
+
+int FlatToml::lineOf(std::string_view key) const {
+  for (const KeyLine &it : Lines)
+    if (it.Key == key)
+      return it.Line;
+  return 0;
+}
+
+leaf::result<FlatToml> flattenToml(std::string_view text) {
+  FlatToml flat;
+  try {
+    const toml::table parsed = toml::parse(text);
+    flatten(parsed, "", flat);
+  } catch (const toml::parse_error &ec) {
+    return leaf::new_error(TomlError{static_cast<int>(ec.source().begin.line),
+                                     std::string(ec.description())});
+  }
+  return flat;
+}
+
+} // namespace orioletally::main
--- /dev/null
+++ b/tests/lab/engine_model.cpp
@@ -0,0 +1,235 @@
+#include "tests/lab/engine_model.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <xxhash.h>
+
+namespace orioletally::lab {
+
+namespace {
+
+using core::backends::CancelState;
+using core::backends::EngineRefusal;
+using core::backends::EngineSubmit;
+using core::backends::LoadReport;
+using core::backends::StreamHolding;
+using core::backends::StreamId;
+
+constexpr int64_t CacheBlockTokens = 1024;
+constexpr int64_t FullRetryMs = 500;
+
+EngineRefusal refusal(std::string code, std::string message,
+                      int64_t retryAfterMs) {
+  return {std::move(code), std::move(message), retryAfterMs, false};
+}
+
+} // namespace
+
+std::string answerToken(uint64_t promptHash, uint64_t n) {
+  const uint64_t value =
+      XXH3_64bits_withSeed(&promptHash, sizeof(promptHash), n);
+  return fmt::format("{:04x} ", value & 0xffff);
+}
+
+uint64_t hashPrompt(std::string_view prompt) {
+  return XXH3_64bits(prompt.data(), prompt.size());
+}
+
+EngineModel::EngineModel(const EngineSpeeds &wanted) : Speeds(wanted) {}
+
+EngineModel::Key EngineModel::keyOf(const StreamId &stream) {
+  return fmt::format("{}/{}", stream.RequestId, stream.Attempt);
+}
+
+std::optional<EngineRefusal> EngineModel::submit(EngineSubmit submit,
+                                                 absl::Time now) {
+  const Key key = keyOf(submit.Stream);
+  if (Tombstones.contains(key))
+    return refusal("cancelled", "cancelled before it arrived", 0);
+  if (Streams.contains(key) || Done.contains(key))
+    return refusal("duplicate", "the stream exists already", 0);
+  ModelStream stream;
+  stream.PromptHash = hashPrompt(submit.Prompt);
+  stream.PromptTokens =
+      (static_cast<int64_t>(submit.Prompt.size()) + BytesPerToken - 1) /
+      BytesPerToken;
+  stream.HeldTokens = stream.PromptTokens + submit.MaxTokens;
+  if (stream.HeldTokens > Speeds.MemoryTokens)
+    return refusal("too_large", "larger than the memory", 0);
+  const auto waiting =
+      std::count_if(Streams.begin(), Streams.end(),
+                    [](const auto &it) { return !it.second.Started; });
+  if (static_cast<size_t>(waiting) >= Speeds.MaxQueued)
+    return refusal("full", "too many streams wait", FullRetryMs);
+  stream.Arrived = now;
+  stream.Deadline = now + submit.TimeLeft;
+  stream.Submit = std::move(submit);
+  Streams.emplace(key, std::move(stream));
+  startWaiting(now);
+  return std::nullopt;
+}
+
+int64_t EngineModel::heldTokens() const {
+  int64_t held = 0;
+  for (const auto &[key, it] : Streams)
+    held += it.Started ? it.HeldTokens : 0;
+  return held;
+}
+
+int64_t EngineModel::cachedTokens(const ModelStream &stream) {
+  const std::string &prompt = stream.Submit.Prompt;
+  const std::string &salt = stream.Submit.CacheSalt;
+  uint64_t chain = XXH3_64bits(salt.data(), salt.size());
+  int64_t cached = 0;
+  bool isHit = true;
+  constexpr auto Block = static_cast<size_t>(CacheBlockTokens * BytesPerToken);
+  for (size_t n = 0; n + Block <= prompt.size(); n += Block) {
+    chain = XXH3_64bits_withSeed(prompt.data() + n, Block, chain);
+    const auto it = Cache.find(chain);
+    isHit = isHit && it != Cache.end();
+    if (isHit)
+      cached += CacheBlockTokens;
+    if (it != Cache.end())
+      CacheOrder.erase(it->second);
+    CacheOrder.push_back(chain);
+    Cache[chain] = std::prev(CacheOrder.end());
+  }
+  const auto capacity =
+      static_cast<size_t>(Speeds.CacheTokens / CacheBlockTokens);
+  while (CacheOrder.size() > capacity) {
+    Cache.erase(CacheOrder.front());
+    CacheOrder.pop_front();
+  }
+  return cached;
+}
+
+void EngineModel::startWaiting(absl::Time now) {
+  int64_t free = Speeds.MemoryTokens - heldTokens();
+  std::vector<ModelStream *> waiting;
+  for (auto &[key, it] : Streams)
+    if (!it.Started)
+      waiting.push_back(&it);
+  std::sort(waiting.begin(), waiting.end(), [](const auto *a, const auto *b) {
+    if (a->Submit.Priority != b->Submit.Priority)
+      return a->Submit.Priority > b->Submit.Priority;
+    return a->Arrived < b->Arrived;
+  });
+  for (ModelStream *it : waiting) {
+    if (it->HeldTokens > free)
+      break;
+    free -= it->HeldTokens;
+    it->Started = true;
+    it->PrefillLeft = static_cast<double>(
+        std::max<int64_t>(1, it->PromptTokens - cachedTokens(*it)));
+    it->NextToken = now;
+    Ran.push_back({it->Submit.Stream, 0});
+  }
+}
+
+void EngineModel::prefill(double tokens, absl::Time now) {
+  std::vector<ModelStream *> order;
+  for (auto &[key, it] : Streams)
+    if (it.Started && it.PrefillLeft > 0)
+      order.push_back(&it);
+  std::sort(order.begin(), order.end(), [](const auto *a, const auto *b) {
+    if (a->Submit.Priority != b->Submit.Priority)
+      return a->Submit.Priority > b->Submit.Priority;
+    return a->Arrived < b->Arrived;
+  });
+  for (ModelStream *it : order) {
+    const double used = std::min(tokens, it->PrefillLeft);
+    it->PrefillLeft -= used;
+    tokens -= used;
+    if (it->PrefillLeft > 0)
+      return;
+    it->PrefillLeft = 0;
+    it->NextToken = now;
+  }
+}
+
+void EngineModel::advance(absl::Time now) {
+  if (Last == absl::InfinitePast())
+    Last = now;
+  startWaiting(now);
+  prefill(absl::ToDoubleSeconds(now - Last) *
+              static_cast<double>(Speeds.PrefillRate),
+          now);
+  Last = now;
+  for (auto &[key, it] : Streams) {
+    while (it.Started && it.PrefillLeft <= 0 && !it.isFinished() &&
+           it.NextToken <= now) {
+      ++it.Produced;
+      it.NextToken += Speeds.TokenTime;
+    }
+  }
+}
+
+void EngineModel::finish(const Key &key) {
+  const auto it = Streams.find(key);
+  if (it == Streams.end())
+    return;
+  it->second.Submit.Prompt.clear();
+  Done.insert(Streams.extract(it));
+}
+
+const ModelStream *EngineModel::find(const StreamId &stream) const {
+  const Key key = keyOf(stream);
+  const auto it = Streams.find(key);
+  if (it != Streams.end())
+    return &it->second;
+  const auto done = Done.find(key);
+  return done == Done.end() ? nullptr : &done->second;
+}
+
+void EngineModel::delivered(const StreamId &stream) { finish(keyOf(stream)); }
+
+CancelState EngineModel::cancel(const StreamId &stream, absl::Time now) {
+  const Key key = keyOf(stream);
+  if (Done.contains(key))
+    return CancelState::Finished;
+  const auto it = Streams.find(key);
+  if (it == Streams.end()) {
+    Tombstones.insert(key);
+    return CancelState::NeverStarted;
+  }
+  const bool isStarted = it->second.Started;
+  const bool isFinished = it->second.isFinished();
+  Streams.erase(it);
+  Tombstones.insert(key);
+  startWaiting(now);
+  if (isFinished)
+    return CancelState::Finished;
+  return isStarted ? CancelState::Stopped : CancelState::NeverStarted;
+}
+
+LoadReport EngineModel::load() const {
+  LoadReport load;
+  for (const auto &[key, it] : Streams)
+    load.QueuedPrefillTokens += static_cast<int64_t>(
+        it.Started ? it.PrefillLeft : static_cast<double>(it.PromptTokens));
+  load.Streams = static_cast<int64_t>(Streams.size());
+  load.FreeTokens = Speeds.MemoryTokens - heldTokens();
+  return load;
+}
+
+std::vector<StreamHolding> EngineModel::holdings(absl::Time now) const {
+  std::vector<StreamHolding> result;
+  for (const auto &[key, it] : Streams)
+    result.push_back({it.Submit.Stream, it.Submit.Owner, it.HeldTokens,
+                      it.Deadline - now, it.isFinished()});
+  return result;
+}
+
+absl::Time EngineModel::nextChange() const {
+  absl::Time next = absl::InfiniteFuture();
+  for (const auto &[key, it] : Streams) {
+    if (!it.Started || it.isFinished())
+      continue;
+    const absl::Duration left =
+        absl::Seconds(it.PrefillLeft / static_cast<double>(Speeds.PrefillRate));
+    next = std::min(next, it.PrefillLeft > 0 ? Last + left : it.NextToken);
+  }
+  return next;
+}
+
+} // namespace orioletally::lab
--- /dev/null
+++ b/tests/lab/engine_model.h
@@ -0,0 +1,119 @@
+#ifndef ORIOLETALLY_TESTS_LAB_ENGINE_MODEL_H
+#define ORIOLETALLY_TESTS_LAB_ENGINE_MODEL_H
+
+#include "core/backends/engine_client.h"
+
+#include <absl/time/time.h>
+#include <cstdint>
+#include <list>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace orioletally::lab {
+
+/// Speeds and sizes of a stand-in engine.
+struct EngineSpeeds {
+  int64_t MemoryTokens = 1'200'000;
+  int64_t PrefillRate = 50'000;
+  absl::Duration TokenTime = absl::Milliseconds(20);
+  /// Streams that may wait for memory.
+  size_t MaxQueued = 64;
+  int64_t CacheTokens = 400'000;
+};
+
+/// Bytes that the stand-ins count as one token.
+constexpr int64_t BytesPerToken = 4;
+
+/// Token \p n of the answer to the prompt that has this hash. An answer is a
+/// function of its own prompt, so that a checker can verify each byte.
+std::string answerToken(uint64_t promptHash, uint64_t n);
+
+/// Hash that answerToken() takes.
+uint64_t hashPrompt(std::string_view prompt);
+
+/// One stream on a stand-in engine.
+struct ModelStream {
+  core::backends::EngineSubmit Submit;
+  uint64_t PromptHash = 0;
+  int64_t PromptTokens = 0;
+  int64_t HeldTokens = 0;
+  double PrefillLeft = 0;
+  bool Started = false;
+  bool Delivered = false;
+  uint64_t Produced = 0;
+  absl::Time Arrived;
+  absl::Time Deadline;
+  absl::Time NextToken;
+
+  bool isFinished() const {
+    return Produced >= static_cast<uint64_t>(Submit.MaxTokens);
+  }
+};
+
+/// What became of a submit, for checkers.
+struct Execution {
+  core::backends::StreamId Stream;
+  uint64_t Tokens = 0;
+};
+
+/// A stand-in engine without threads, sockets or clock: continuous batching
+/// with prefill by priority and arrival, limited KV memory, a prefix cache,
+/// cancels with tombstones. A finished stream holds its memory until its last
+/// frame was delivered or it is cancelled, as an engine would whose client has
+/// gone.
+class EngineModel {
+public:
+  explicit EngineModel(const EngineSpeeds &wanted);
+
+  /// Takes a submit, or refuses it before anything began.
+  std::optional<core::backends::EngineRefusal>
+  submit(core::backends::EngineSubmit submit, absl::Time now);
+
+  core::backends::CancelState cancel(const core::backends::StreamId &stream,
+                                     absl::Time now);
+
+  /// Works until \p now.
+  void advance(absl::Time now);
+
+  const ModelStream *find(const core::backends::StreamId &stream) const;
+
+  /// The last frame of the stream reached its client.
+  void delivered(const core::backends::StreamId &stream);
+
+  core::backends::LoadReport load() const;
+  std::vector<core::backends::StreamHolding> holdings(absl::Time now) const;
+  int64_t heldTokens() const;
+
+  /// When advance() would next change anything.
+  absl::Time nextChange() const;
+
+  /// Every stream that ever began to run.
+  const std::vector<Execution> &executions() const { return Ran; }
+
+private:
+  using Key = std::string;
+  static Key keyOf(const core::backends::StreamId &stream);
+  void startWaiting(absl::Time now);
+  void prefill(double tokens, absl::Time now);
+  int64_t cachedTokens(const ModelStream &stream);
+  void finish(const Key &key);
+
+  EngineSpeeds Speeds;
+  std::map<Key, ModelStream> Streams;
+  std::map<Key, ModelStream> Done;
+  std::set<Key> Tombstones;
+  std::vector<Execution> Ran;
+  std::list<uint64_t> CacheOrder;
+  std::unordered_map<uint64_t, std::list<uint64_t>::iterator> Cache;
+  absl::Time Last = absl::InfinitePast();
+};
+
+} // namespace orioletally::lab
+
+#endif
--- /dev/null
+++ b/tests/lab/engine_server.h
@@ -0,0 +1,78 @@
+#ifndef ORIOLETALLY_TESTS_LAB_ENGINE_SERVER_H
+#define ORIOLETALLY_TESTS_LAB_ENGINE_SERVER_H
+
+#include "drivers/http/http_server.h"
+#include "tests/lab/engine_model.h"
+
+#include <atomic>
+#include <boost/leaf.hpp>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <thread>
+
+namespace orioletally::lab {
+
+/// Faults that a stand-in engine shows until told otherwise.
+struct EngineFaults {
+  /// Submits are refused before they begin.
+  bool Refuse = false;
+  /// The same, and every frame says that the engine leaves.
+  bool Draining = false;
+  /// Submits take effect, but their connection is cut without an answer.
+  bool LoseSubmitReply = false;
+  /// Streams are cut after this many tokens, once each; 0 for never.
+  uint64_t CutAfterTokens = 0;
+  /// Delay of the list of holdings.
+  int ListDelayMs = 0;
+};
+
+/// A stand-in model engine behind HTTP.
+class EngineServer {
+public:
+  EngineServer(int port, const EngineSpeeds &speeds);
+  ~EngineServer();
+  EngineServer(const EngineServer &) = delete;
+  EngineServer &operator=(const EngineServer &) = delete;
+
+  boost::leaf::result<void> start();
+  void stop();
+  int port() const { return Server.port(); }
+
+  void setFaults(const EngineFaults &wanted);
+
+  /// Makes every open connection silent for good; new ones work.
+  void silenceConnections() { ++SilenceEpoch; }
+
+  int64_t heldTokens();
+  std::vector<Execution> executions();
+  uint64_t submits() const { return Submits; }
+
+private:
+  struct Feed;
+
+  void registerStreams();
+  void registerControl();
+  void submit(const httplib::Request &request, httplib::Response &response);
+  void resume(const httplib::Request &request, httplib::Response &response);
+  void stream(const core::backends::StreamId &id, uint64_t offset,
+              httplib::Response &response);
+  bool writeSome(Feed &feed, httplib::DataSink &sink);
+  std::string framesSince(Feed &feed);
+  void work();
+
+  std::mutex Guard;
+  std::condition_variable Changed;
+  EngineModel Model;
+  EngineFaults Faults;
+  std::set<std::string> CutOnce;
+  std::atomic<uint64_t> SilenceEpoch = 0;
+  std::atomic<uint64_t> Submits = 0;
+  std::atomic<bool> Stopping = false;
+  std::thread Worker;
+  drivers::http::HttpServer Server;
+};
+
+} // namespace orioletally::lab
+
+#endif
--- /dev/null
+++ b/tests/lab/lab_http.cpp
@@ -0,0 +1,33 @@
+#include "tests/lab/lab_http.h"
+
+#include "drivers/http/socket_stream.h"
+
+#include <sys/socket.h>
+
+namespace orioletally::lab {
+
+namespace {
+constexpr size_t MaxConnections = 4000;
+constexpr size_t MaxBody = 64 << 20;
+} // namespace
+
+void reply(httplib::Response &response, int status,
+           const nlohmann::json &object) {
+  response.status = status;
+  response.set_content(object.dump(), "application/json");
+}
+
+void cutConnection() {
+  if (auto *connection = drivers::http::currentConnection())
+    ::shutdown(connection->socket(), SHUT_RDWR);
+}
+
+drivers::http::HttpServerSettings labServer(int port) {
+  drivers::http::HttpServerSettings settings;
+  settings.Port = port;
+  settings.MaxConnections = MaxConnections;
+  settings.MaxBodyBytes = MaxBody;
+  return settings;
+}
+
+} // namespace orioletally::lab
--- /dev/null
+++ b/tests/lab/load_client.cpp
@@ -0,0 +1,234 @@
+#include "tests/lab/load_client.h"
+
+#include "drivers/backend/engine_codec.h"
+#include "drivers/clock/clock.h"
+#include "drivers/http/http_exchange.h"
+#include "tests/lab/engine_model.h"
+
+#include <algorithm>
+#include <condition_variable>
+#include <fmt/format.h>
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <thread>
+
+namespace orioletally::lab {
+
+namespace {
+
+using drivers::clock::steadyNow;
+using drivers::http::ExchangeEnd;
+using drivers::http::ExchangeRequest;
+using drivers::http::HttpExchange;
+using nlohmann::json;
+
+constexpr absl::Duration ConnectBound = absl::Seconds(2);
+constexpr std::string_view EventPrefix = "data: ";
+
+/// Takes the lines of one answer and checks them.
+class AnswerChecker {
+public:
+  AnswerChecker(uint64_t promptHash, bool isDirect, absl::Time started)
+      : Hash(promptHash), Direct(isDirect), Started(started) {}
+
+  void take(std::string_view data) {
+    Lines.feed(data, [this](std::string_view line) { takeLine(line); });
+  }
+
+  LoadSample Sample;
+
+private:
+  void takeLine(std::string_view line) {
+    if (Direct) {
+      const auto frame = drivers::backend::frameFromLine(line);
+      if (!frame.has_value())
+        return;
+      if (frame->Kind == core::backends::FrameKind::Token)
+        takeText(frame->Text);
+      if (frame->Kind == core::backends::FrameKind::Final)
+        Sample.Whole = true;
+      return;
+    }
+    if (!line.starts_with(EventPrefix))
+      return;
+    line.remove_prefix(EventPrefix.size());
+    if (line == "[DONE]") {
+      Sample.Whole = true;
+      return;
+    }
+    const json event = json::parse(line, nullptr, false);
+    if (!event.is_object())
+      return;
+    if (event.contains("error")) {
+      Sample.ErrorCode = event["error"]["code"];
+      Sample.Run = event["error"]["run"];
+      return;
+    }
+    Sample.RequestId = event.value("id", std::string());
+    takeText(event["choices"][0].value("text", std::string()));
+  }
+
+  void takeText(std::string_view text) {
+    if (text.empty())
+      return;
+    if (Sample.Tokens == 0)
+      Sample.FirstToken = steadyNow() - Started;
+    Sample.Right = Sample.Right && text == answerToken(Hash, Sample.Tokens);
+    ++Sample.Tokens;
+  }
+
+  uint64_t Hash;
+  bool Direct;
+  absl::Time Started;
+  drivers::backend::LineSplitter Lines;
+};
+
+ExchangeRequest requestFor(const LoadPlan &plan, int n,
+                           const std::string &prompt) {
+  ExchangeRequest request;
+  request.Address = plan.Targets[static_cast<size_t>(n) % plan.Targets.size()];
+  request.Method = "POST";
+  request.Connect = ConnectBound;
+  if (!plan.Direct) {
+    request.Path = "/v1/completions";
+    request.Headers.emplace("Authorization", "Bearer " + plan.Token);
+    request.Body = json({{"model", plan.Profile},
+                         {"prompt", prompt},
+                         {"max_tokens", plan.MaxTokens},
+                         {"stream", true}})
+                       .dump();
+    return request;
+  }
+  core::backends::EngineSubmit submit;
+  submit.Stream = {fmt::format("load-{}-{}", plan.Seed, n), 1};
+  submit.Owner = "load/1";
+  submit.TimeLeft = plan.Bound;
+  submit.MaxTokens = plan.MaxTokens;
+  submit.Model = "default";
+  submit.Prompt = prompt;
+  request.Path = "/v1/streams";
+  request.Body = drivers::backend::submitToJson(submit);
+  return request;
+}
+
+double percentile(std::vector<double> values, double share) {
+  if (values.empty())
+    return 0;
+  std::sort(values.begin(), values.end());
+  const auto n =
+      static_cast<size_t>(share * static_cast<double>(values.size() - 1));
+  return values[n];
+}
+
+} // namespace
+
+std::string promptOf(const LoadPlan &plan, int n) {
+  std::string prompt = fmt::format("request {} of run {}: ", n, plan.Seed);
+  const auto bytes = static_cast<size_t>(plan.PromptTokens) * BytesPerToken;
+  while (prompt.size() < bytes)
+    prompt += "lorem ipsum ";
+  prompt.resize(bytes);
+  return prompt;
+}
+
+LoadSample runRequest(const LoadPlan &plan, int n) {
+  const std::string prompt = promptOf(plan, n);
+  const absl::Time started = steadyNow();
+  AnswerChecker checker(hashPrompt(prompt), plan.Direct, started);
+  std::mutex guard;
+  std::condition_variable changed;
+  std::string errorBody;
+  bool isDone = false;
+  HttpExchange exchange(
+      requestFor(plan, n, prompt),
+      [&](int status, std::string_view data) {
+        if (status == 200)
+          checker.take(data);
+        else
+          errorBody.append(data);
+      },
+      [&](const ExchangeEnd &end) {
+        const std::lock_guard lock(guard);
+        checker.Sample.Status = end.Status;
+        const auto id = end.Headers.find("X-Request-Id");
+        if (id != end.Headers.end())
+          checker.Sample.RequestId = id->second;
+        if (!end.Whole)
+          checker.Sample.Whole = false;
+        isDone = true;
+        changed.notify_all();
+      });
+  std::unique_lock lock(guard);
+  if (!changed.wait_until(
+          lock, drivers::clock::waitPoint(started + plan.Bound, started),
+          [&] { return isDone; })) {
+    lock.unlock();
+    exchange.stop();
+    lock.lock();
+    checker.Sample.ErrorCode = "no_answer_in_time";
+    checker.Sample.Whole = false;
+    return checker.Sample;
+  }
+  LoadSample sample = checker.Sample;
+  sample.Total = steadyNow() - started;
+  const json error = json::parse(errorBody, nullptr, false);
+  if (error.is_object() && error.contains("error")) {
+    sample.ErrorCode = error["error"]["code"];
+    sample.Run = error["error"]["run"];
+  }
+  return sample;
+}
+
+std::vector<LoadSample> runLoad(const LoadPlan &plan) {
+  std::mt19937_64 random(plan.Seed);
+  std::exponential_distribution<double> gap(plan.Rate);
+  std::vector<LoadSample> samples(static_cast<size_t>(plan.Requests));
+  std::vector<std::thread> threads;
+  absl::Time next = steadyNow();
+  for (int n = 0; n < plan.Requests; ++n) {
+    const absl::Time now = steadyNow();
+    std::this_thread::sleep_until(drivers::clock::waitPoint(next, now));
+    next += absl::Seconds(gap(random));
+    threads.emplace_back([&plan, &samples, n] {
+      samples[static_cast<size_t>(n)] = runRequest(plan, n);
+    });
+  }
+  for (std::thread &it : threads)
+    it.join();
+  return samples;
+}
+
+void printLoad(const LoadPlan &plan, const std::vector<LoadSample> &samples,
+               absl::Duration elapsed) {
+  std::vector<double> first;
+  std::map<std::string, int> errors;
+  uint64_t tokens = 0;
+  int whole = 0;
+  int wrong = 0;
+  for (const LoadSample &it : samples) {
+    tokens += it.Tokens;
+    whole += it.Whole ? 1 : 0;
+    wrong += it.Right ? 0 : 1;
+    if (it.Tokens > 0)
+      first.push_back(absl::ToDoubleMilliseconds(it.FirstToken));
+    if (!it.Whole)
+      ++errors[it.ErrorCode.empty() ? "cut" : it.ErrorCode];
+  }
+  const double seconds = absl::ToDoubleSeconds(elapsed);
+  const json result = {{"requests", plan.Requests},
+                       {"whole", whole},
+                       {"wrong", wrong},
+                       {"errors", errors},
+                       {"first_token_ms_p50", percentile(first, 0.50)},
+                       {"first_token_ms_p95", percentile(first, 0.95)},
+                       {"first_token_ms_p99", percentile(first, 0.99)},
+                       {"tokens_per_s", static_cast<double>(tokens) / seconds},
+                       {"seconds", seconds}};
+  for (const auto &[key, value] : result.items())
+    fmt::print(stderr, "{:<22} {}\n", key, value.dump());
+  fmt::print("{}\n", result.dump());
+}
+
+} // namespace orioletally::lab
--- /dev/null
+++ b/tests/lab/platform_server.h
@@ -0,0 +1,73 @@
+#ifndef ORIOLETALLY_TESTS_LAB_PLATFORM_SERVER_H
+#define ORIOLETALLY_TESTS_LAB_PLATFORM_SERVER_H
+
+#include "drivers/http/http_server.h"
+
+#include <boost/leaf.hpp>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <string>
+
+namespace orioletally::lab {
+
+/// Faults that the stand-in platform shows until told otherwise.
+struct PlatformFaults {
+  /// Every call is cut before it has any effect.
+  bool Outage = false;
+  /// The VM list alone is cut.
+  bool VmListOutage = false;
+  int DelayMs = 0;
+  /// Per cent of transactions whose answer is lost after they took effect.
+  int LoseReplyPercent = 0;
+  /// Reads answer with the rows as they were when this was set.
+  bool StaleReads = false;
+};
+
+/// A stand-in of the platform: table service and VM list, in memory.
+class PlatformServer {
+public:
+  explicit PlatformServer(int port, uint64_t seed = 1);
+
+  boost::leaf::result<void> start();
+  void stop() { Server.stop(); }
+  int port() const { return Server.port(); }
+
+  void setFaults(const PlatformFaults &wanted);
+  void putVm(const nlohmann::json &vm);
+  uint64_t writes() const;
+  uint64_t reads() const;
+
+private:
+  struct Row {
+    uint64_t Version = 0;
+    std::string Value;
+  };
+  using Rows = std::map<std::string, Row>;
+
+  void registerTable();
+  void registerControl();
+  /// Shows the faults that come before any effect; true when the call is cut.
+  bool isCut(bool isVmList);
+  void commit(const nlohmann::json &transaction, httplib::Response &response);
+  const Rows &readable() const;
+  static nlohmann::json rowJson(const std::string &key, const Row &row);
+
+  mutable std::mutex Guard;
+  PlatformFaults Faults;
+  std::mt19937_64 Random;
+  Rows Table;
+  Rows OldTable;
+  uint64_t LastVersion = 0;
+  uint64_t Writes = 0;
+  uint64_t Reads = 0;
+  std::map<std::string, nlohmann::json> Vms;
+  drivers::http::HttpServer Server;
+};
+
+} // namespace orioletally::lab
+
+#endif
--- /dev/null
+++ b/tests/lab/service_server.h
@@ -0,0 +1,50 @@
+#ifndef ORIOLETALLY_TESTS_LAB_SERVICE_SERVER_H
+#define ORIOLETALLY_TESTS_LAB_SERVICE_SERVER_H
+
+#include "drivers/http/http_server.h"
+
+#include <boost/leaf.hpp>
+#include <map>
+#include <mutex>
+#include <random>
+#include <string>
+
+namespace orioletally::lab {
+
+/// Faults that a stand-in service shows until told otherwise.
+struct ServiceFaults {
+  bool Refuse = false;
+  bool Draining = false;
+  int DelayMs = 0;
+  /// Per cent of calls that run and whose answer is lost.
+  int LoseReplyPercent = 0;
+};
+
+/// A stand-in plain service that counts what it executes.
+class ServiceServer {
+public:
+  explicit ServiceServer(int port, uint64_t seed = 1);
+
+  boost::leaf::result<void> start();
+  void stop() { Server.stop(); }
+  int port() const { return Server.port(); }
+
+  void setFaults(const ServiceFaults &wanted);
+
+  /// How often each idempotency key was executed; calls without one count
+  /// under their request id.
+  std::map<std::string, int> executions() const;
+
+private:
+  void run(const httplib::Request &request, httplib::Response &response);
+
+  mutable std::mutex Guard;
+  ServiceFaults Faults;
+  std::mt19937_64 Random;
+  std::map<std::string, int> Executions;
+  drivers::http::HttpServer Server;
+};
+
+} // namespace orioletally::lab
+
+#endif
