--- a/core/claims/claim_ledger.cpp
+++ b/core/claims/claim_ledger.cpp
@@ -1,5 +1,7 @@
 #include "core/claims/claim_ledger.h"
 
+#include "core/platform/table_outcome.h"
+
 #include <absl/strings/escaping.h>
 #include <array>
 #include <fmt/format.h>
@@ -69,14 +71,14 @@
 leaf::result<TableCommit> commitOrDoubt(platform::TableService &table,
                                         const TableTransaction &transaction,
                                         bool &isInDoubt) {
-  return leaf::try_handle_some(
-      [&] { return table.commit(transaction); },
-      [&](const TableError &ec) -> leaf::result<TableCommit> {
-        if (ec.Failure != TableFailure::OutcomeUnknown)
-          return leaf::new_error(ec);
-        isInDoubt = true;
-        return TableCommit{};
-      });
+  BOOST_LEAF_AUTO(outcome, platform::tableOutcome<TableCommit>(
+                               [&] { return table.commit(transaction); }));
+  if (outcome.Done.has_value())
+    return *outcome.Done;
+  if (outcome.Error.Failure != TableFailure::OutcomeUnknown)
+    return leaf::new_error(outcome.Error);
+  isInDoubt = true;
+  return TableCommit{};
 }
 
 } // namespace
--- a/core/profiles/profile_store.cpp
+++ b/core/profiles/profile_store.cpp
@@ -1,5 +1,7 @@
 #include "core/profiles/profile_store.h"
 
+#include "core/platform/table_outcome.h"
+
 #include <absl/strings/str_format.h>
 #include <fmt/format.h>
 #include <optional>
@@ -237,16 +239,15 @@
   const AuditRecord record =
       recordOf(change, standing.Current, revisionIn(standing.Head) + 1);
   const TableTransaction transaction = transactionFor(change, standing, record);
-  BOOST_LEAF_AUTO(result,
-                  leaf::try_handle_some(
-                      [&] { return Table.commit(transaction); },
-                      [&](const TableError &ec) -> leaf::result<TableCommit> {
-                        if (ec.Failure != TableFailure::OutcomeUnknown)
-                          return leaf::new_error(ec);
-                        isInDoubt = true;
-                        return TableCommit{};
-                      }));
-  if (!result.Committed)
+  BOOST_LEAF_AUTO(outcome, platform::tableOutcome<TableCommit>(
+                               [&] { return Table.commit(transaction); }));
+  if (!outcome.Done.has_value()) {
+    if (outcome.Error.Failure != TableFailure::OutcomeUnknown)
+      return leaf::new_error(outcome.Error);
+    isInDoubt = true;
+    return std::optional<ChangeOutcome>();
+  }
+  if (!outcome.Done->Committed)
     return std::optional<ChangeOutcome>();
   return std::optional<ChangeOutcome>(ChangeCommitted{record.After, false});
 }
@@ -254,15 +255,12 @@
 leaf::result<ChangeOutcome> ProfileStore::commit(const ProfileChange &change) {
   bool isInDoubt = false;
   for (int n = 0; n < MaxCommitTries; ++n) {
-    BOOST_LEAF_AUTO(outcome,
-                    leaf::try_handle_some(
-                        [&] { return tryOnce(change, isInDoubt); },
-                        [&](const TableError &ec)
-                            -> leaf::result<std::optional<ChangeOutcome>> {
-                          return tableError(isInDoubt, ec.Detail);
-                        }));
-    if (outcome.has_value())
-      return *std::move(outcome);
+    BOOST_LEAF_AUTO(tried, platform::tableOutcome<std::optional<ChangeOutcome>>(
+                               [&] { return tryOnce(change, isInDoubt); }));
+    if (!tried.Done.has_value())
+      return tableError(isInDoubt, tried.Error.Detail);
+    if (tried.Done->has_value())
+      return **std::move(tried.Done);
   }
   return tableError(isInDoubt, "too many tries were lost to other changes");
 }
--- a/drivers/gateway/completion_runner.cpp
+++ b/drivers/gateway/completion_runner.cpp
@@ -176,7 +176,7 @@
     std::visit([this](auto &action) { perform(std::move(action)); }, it);
 }
 
-void CompletionRunner::perform(OpenSubmit action) {
+void CompletionRunner::perform(const OpenSubmit &action) {
   const core::requests::RequestPlan &plan = Machine.plan();
   const absl::Time now = clock::steadyNow();
   core::backends::EngineSubmit submit;
--- a/drivers/gateway/completion_runner.h
+++ b/drivers/gateway/completion_runner.h
@@ -82,7 +82,7 @@
   void perform(core::requests::RequestActions actions);
   void observeLoad(const core::requests::RequestEvent &event);
 
-  void perform(core::requests::OpenSubmit action);
+  void perform(const core::requests::OpenSubmit &action);
   void perform(const core::requests::OpenResume &action);
   void perform(const core::requests::DropConnection &action);
   void perform(const core::requests::SendCancel &action);
--- a/drivers/gateway/profile_changes.cpp
+++ b/drivers/gateway/profile_changes.cpp
@@ -13,7 +13,6 @@
 namespace {
 
 using core::errors::ErrorCode;
-using core::errors::RequestError;
 using core::errors::RequestErrorBuilder;
 using core::errors::RunState;
 using core::membership::AgedMember;
@@ -23,7 +22,6 @@
 using core::platform::TableError;
 using core::platform::TableFailure;
 using core::profiles::ChangeCommitted;
-using core::profiles::ChangeIdTaken;
 using core::profiles::ChangeLostRace;
 using core::profiles::ChangeOutcome;
 using core::profiles::ProfileChange;
@@ -34,7 +32,7 @@
 constexpr absl::Duration ResendPause = absl::Milliseconds(200);
 constexpr size_t ResendAtOnce = 16;
 
-ChangeRefused refused(RequestErrorBuilder error) {
+ChangeRefused refused(const RequestErrorBuilder &error) {
   return {error.build(), std::nullopt};
 }
 
--- a/drivers/gateway/profile_sync.cpp
+++ b/drivers/gateway/profile_sync.cpp
@@ -15,7 +15,6 @@
 using core::platform::TableError;
 using core::profiles::AuditRecord;
 using core::profiles::Profile;
-using core::profiles::ProfileSet;
 using core::profiles::UnreadableRow;
 using nlohmann::json;
 
--- a/drivers/gateway/request_journal.cpp
+++ b/drivers/gateway/request_journal.cpp
@@ -5,7 +5,7 @@
 RequestJournal::RequestJournal(size_t capacity) : Capacity(capacity) {}
 
 void RequestJournal::record(const std::string &requestId,
-                            nlohmann::json explanation) {
+                            const nlohmann::json &explanation) {
   const std::lock_guard lock(Guard);
   // Text takes far less memory than the parsed form.
   if (Texts.insert_or_assign(requestId, explanation.dump()).second)
--- a/drivers/gateway/request_journal.h
+++ b/drivers/gateway/request_journal.h
@@ -17,7 +17,7 @@
   /// \p capacity bounds the requests remembered; the oldest go first.
   explicit RequestJournal(size_t capacity);
 
-  void record(const std::string &requestId, nlohmann::json explanation);
+  void record(const std::string &requestId, const nlohmann::json &explanation);
 
   std::optional<nlohmann::json> find(const std::string &requestId) const;
 
--- a/drivers/http/http_server.cpp
+++ b/drivers/http/http_server.cpp
@@ -125,7 +125,7 @@
     const bool isLast = Stopping || ConnectionThreads::connectionClass() !=
                                         ConnectionClass::Kept;
     isServed = process_request(stream, isLast, isClosed, nullptr);
-    if (!isServed || isLast)
+    if (!isServed || isLast || stream.timedOut())
       break;
   }
   ::shutdown(sock, SHUT_RDWR);
--- a/drivers/peer/peer_service.cpp
+++ b/drivers/peer/peer_service.cpp
@@ -97,7 +97,7 @@
     const TickFindings findings = Detector.tick(clock::steadyNow());
     lock.unlock();
     if (findings.WasFrozen)
-      Handlers.wasFrozen();
+      Handlers.WasFrozen();
     for (const std::string &it : findings.NewlyDead)
       log::write(log::Level::Warn, "member_dead", {{"member", it}});
     send(findings.Outgoing);
@@ -161,12 +161,12 @@
 
 void PeerService::handle(const PeerMessage &message,
                          const ProfileRequest &body) {
-  sendBody(message.From.PeerAddress, Handlers.giveProfiles(body.After));
+  sendBody(message.From.PeerAddress, Handlers.GiveProfiles(body.After));
 }
 
 void PeerService::handle(const PeerMessage &, const ProfileRecords &body) {
   const uint64_t before = self().ProfileRevision;
-  Handlers.takeProfiles(body);
+  Handlers.TakeProfiles(body);
   const uint64_t after = self().ProfileRevision;
   if (!body.ConfirmTo.empty())
     sendBody(body.ConfirmTo, ProfileConfirm{after});
@@ -175,7 +175,7 @@
 }
 
 void PeerService::handle(const PeerMessage &, const LeavingBackends &body) {
-  const std::vector<std::string> fresh = Handlers.takeLeaving(body.Ids);
+  const std::vector<std::string> fresh = Handlers.TakeLeaving(body.Ids);
   if (!fresh.empty())
     sendToSome(LeavingBackends{fresh});
 }
--- a/drivers/peer/peer_service.h
+++ b/drivers/peer/peer_service.h
@@ -19,14 +19,14 @@
 /// from threads of the service, and none may block for long.
 struct PeerHandlers {
   /// Takes profiles in stored form; returns the revision now in force.
-  std::function<void(const core::membership::ProfileRecords &)> takeProfiles;
+  std::function<void(const core::membership::ProfileRecords &)> TakeProfiles;
   /// Returns the profiles newer than a revision.
-  std::function<core::membership::ProfileRecords(uint64_t after)> giveProfiles;
+  std::function<core::membership::ProfileRecords(uint64_t after)> GiveProfiles;
   /// Takes marks of leaving backend servers; returns those that were news.
   std::function<std::vector<std::string>(const std::vector<std::string> &)>
-      takeLeaving;
+      TakeLeaving;
   /// The process was frozen for a while.
-  std::function<void()> wasFrozen;
+  std::function<void()> WasFrozen;
 };
 
 /// The entry nodes as one node knows them, and what they tell each other:
--- a/main/node.cpp
+++ b/main/node.cpp
@@ -199,16 +199,16 @@
 
   drivers::peer::PeerHandlers peerHandlers() {
     drivers::peer::PeerHandlers handlers;
-    handlers.takeProfiles = [this](const auto &records) {
+    handlers.TakeProfiles = [this](const auto &records) {
       Sync.takeRecords(records);
     };
-    handlers.giveProfiles = [this](uint64_t after) {
+    handlers.GiveProfiles = [this](uint64_t after) {
       return Sync.recordsAfter(after);
     };
-    handlers.takeLeaving = [this](const std::vector<std::string> &ids) {
+    handlers.TakeLeaving = [this](const std::vector<std::string> &ids) {
       return Router.markLeaving(ids, drivers::clock::steadyNow());
     };
-    handlers.wasFrozen = [] {};
+    handlers.WasFrozen = [] {};
     return handlers;
   }
 
--- a/main/operator_commands.cpp
+++ b/main/operator_commands.cpp
@@ -210,9 +210,10 @@
                                         const OperatorRequest &request) {
   return leaf::try_handle_some(
       [&] { return clientFor(options).call(request); },
-      [&](const ClientError &ec) -> leaf::result<OperatorAnswer> {
+      [&](const ClientError &ec,
+          const leaf::error_info &info) -> leaf::result<OperatorAnswer> {
         if (!ec.MayHaveRun)
-          return leaf::new_error(ec);
+          return info.error();
         fmt::print(stderr, "orioletally: the answer was lost, asking again\n");
         return clientFor(options).call(request);
       });
--- /dev/null
+++ b/scripts/lint.sh
@@ -0,0 +1,18 @@
+#!/usr/bin/env bash
+# Checks format and lints. With a base revision, only product files that have
+# changed since are linted; the format of all is checked.
+# Usage: scripts/lint.sh [BASE]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mapfile -t all < <(git ls-files '*.h' '*.cpp' | grep -v '^proto/generated/')
+clang-format --dry-run --Werror "${all[@]}"
+echo "lint: format of ${#all[@]} files is clean"
+
+if [ $# -ge 1 ]; then
+  mapfile -t product < <(git diff --name-only --diff-filter=d "$1" -- 'core/*.cpp' 'drivers/*.cpp' 'main/*.cpp')
+else
+  mapfile -t product < <(git ls-files 'core/*.cpp' 'drivers/*.cpp' 'main/*.cpp')
+fi
+[ "${#product[@]}" -gt 0 ] || { echo "lint: nothing to lint"; exit 0; }
+printf '%s\n' "${product[@]}" | xargs -P 8 -n 4 clang-tidy --quiet -p build 2> /dev/null
+echo "lint: ${#product[@]} files are clean"
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,29 @@
+#!/usr/bin/env bash
+# Installs what is needed, builds and runs all tests. The last line is
+# "N passed, N failed". Tests listed in KNOWN-RED.txt are run and printed, and
+# don't count. Usage: scripts/test.sh [default|asan|tsan]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+preset=${1:-default}
+build=build
+[ "$preset" = default ] || build=build-$preset
+
+scripts/install-deps.sh
+scripts/build.sh "$preset"
+
+red=$(sed -n 's/^test: *//p' KNOWN-RED.txt)
+exclude='^$'
+for name in $red; do exclude="$exclude|^${name//./\\.}\$"; done
+log=$(mktemp)
+trap 'rm -f "$log"' EXIT
+export TSAN_OPTIONS="suppressions=$PWD/misc/tsan.supp history_size=4"
+status=0
+ctest --test-dir "$build" --output-on-failure -j 4 -E "$exclude" 2>&1 | tee "$log" || status=$?
+for name in $red; do
+  echo "known red: $name"
+  ctest --test-dir "$build" -R "^${name//./\\.}\$" 2>&1 | tail -12 || true
+done
+failed=$(sed -n 's/.* tests passed, \([0-9]*\) tests\? failed out of [0-9]*/\1/p' "$log")
+total=$(sed -n 's/.* tests passed, [0-9]* tests\? failed out of \([0-9]*\)/\1/p' "$log")
+echo "$((${total:-0} - ${failed:-0})) passed, ${failed:-1} failed"
+[ "$status" -eq 0 ] && [ "${total:-0}" -gt 0 ]
--- /dev/null
+++ b/tests/core/test_failure_detector.cpp
@@ -0,0 +1,204 @@
+#include "core/membership/acceptance.h"
+#include "core/membership/failure_detector.h"
+#include "tests/support/request_fixture.h"
+
+#include <CppUTest/TestHarness.h>
+#include <deque>
+#include <fmt/format.h>
+#include <memory>
+#include <random>
+
+using namespace orioletally;
+using namespace orioletally::core::membership;
+using tests::at;
+
+namespace {
+
+Member memberOf(int n) {
+  Member member;
+  member.Name = fmt::format("n{:03}", n);
+  member.Zone = fmt::format("z{}", n % 3);
+  member.PeerAddress = fmt::format("10.0.0.{}:1", n);
+  member.Incarnation = 1;
+  return member;
+}
+
+/// Several detectors that exchange messages in virtual time, with delay and
+/// loss.
+class DetectorNet {
+public:
+  DetectorNet(int nodes, double loss, uint64_t seed)
+      : Loss(loss), Random(seed) {
+    for (int n = 0; n < nodes; ++n) {
+      DetectorSettings settings;
+      settings.Seed = seed * 1000 + static_cast<uint64_t>(n);
+      Nodes.push_back(std::make_unique<FailureDetector>(memberOf(n), settings));
+      Nodes.back()->addSeed(memberOf(0).PeerAddress);
+      Up.push_back(true);
+      Dead.emplace_back();
+    }
+  }
+
+  void runUntil(int64_t ms) {
+    for (; Now < ms; Now += StepMs) {
+      for (size_t n = 0; n < Nodes.size(); ++n) {
+        if (!Up[n])
+          continue;
+        TickFindings findings = Nodes[n]->tick(at(Now));
+        for (const std::string &it : findings.NewlyDead)
+          Dead[n].push_back(it);
+        WasFrozen = WasFrozen || findings.WasFrozen;
+        send(findings.Outgoing);
+      }
+      deliver();
+    }
+  }
+
+  /// How many of the running nodes believe \p name to have \p status.
+  int believers(int name, MemberStatus status) const {
+    int count = 0;
+    for (size_t n = 0; n < Nodes.size(); ++n) {
+      if (!Up[n])
+        continue;
+      for (const MemberView &it : Nodes[n]->members())
+        count +=
+            it.Self.Name == memberOf(name).Name && it.Status == status ? 1 : 0;
+    }
+    return count;
+  }
+
+  std::vector<std::unique_ptr<FailureDetector>> Nodes;
+  std::vector<bool> Up;
+  std::vector<std::vector<std::string>> Dead;
+  bool WasFrozen = false;
+  uint64_t Messages = 0;
+
+private:
+  static constexpr int64_t StepMs = 50;
+
+  struct Letter {
+    int64_t DueMs;
+    OutgoingMessage Content;
+  };
+
+  void send(std::vector<OutgoingMessage> messages) {
+    std::uniform_real_distribution<double> chance(0, 1);
+    for (OutgoingMessage &it : messages) {
+      ++Messages;
+      if (chance(Random) >= Loss)
+        Letters.push_back(
+            {Now + static_cast<int64_t>(Random() % 60), std::move(it)});
+    }
+  }
+
+  void deliver() {
+    std::deque<Letter> due;
+    std::deque<Letter> later;
+    for (Letter &it : Letters)
+      (it.DueMs <= Now ? due : later).push_back(std::move(it));
+    Letters = std::move(later);
+    for (const Letter &it : due)
+      for (size_t n = 0; n < Nodes.size(); ++n)
+        if (Up[n] && Nodes[n]->self().PeerAddress == it.Content.Address)
+          send(Nodes[n]->receive(it.Content.Message, at(Now)));
+  }
+
+  double Loss;
+  std::mt19937_64 Random;
+  int64_t Now = 0;
+  std::deque<Letter> Letters;
+};
+
+} // namespace
+
+TEST_GROUP(FailureDetector){};
+
+TEST(FailureDetector, EveryNodeLearnsOfEveryOtherThroughOneSeed) {
+  DetectorNet net(16, 0, 1);
+  net.runUntil(10'000);
+  for (const auto &it : net.Nodes)
+    LONGS_EQUAL(15, it->members().size());
+}
+
+TEST(FailureDetector, KilledNodeIsFoundDeadByAll) {
+  DetectorNet net(8, 0, 2);
+  net.runUntil(10'000);
+  net.Up[3] = false;
+  net.runUntil(30'000);
+  LONGS_EQUAL(7, net.believers(3, MemberStatus::Dead));
+}
+
+TEST(FailureDetector, LossOfOneInFiveMessagesMakesNobodyDead) {
+  for (uint64_t seed = 1; seed <= 10; ++seed) {
+    DetectorNet net(8, 0.2, seed);
+    net.runUntil(120'000);
+    for (const auto &it : net.Dead)
+      LONGS_EQUAL(0, it.size());
+  }
+}
+
+TEST(FailureDetector, FrozenNodeKnowsItWasAndRefutesItsDeath) {
+  DetectorNet net(6, 0, 4);
+  net.runUntil(10'000);
+  net.Up[2] = false;
+  net.runUntil(40'000);
+  LONGS_EQUAL(5, net.believers(2, MemberStatus::Dead));
+  net.Up[2] = true;
+  net.runUntil(70'000);
+  CHECK(net.WasFrozen);
+  LONGS_EQUAL(5, net.believers(2, MemberStatus::Alive));
+  LONGS_EQUAL(0, net.Dead[2].size());
+}
+
+TEST(FailureDetector, MessagesOfOneNodeDoNotGrowWithTheirNumber) {
+  // A probe and its answer each period of half a second, with room for a few
+  // joins through the seed: not one message for each other node.
+  for (const int nodes : {8, 32, 128}) {
+    DetectorNet net(nodes, 0, 5);
+    net.runUntil(20'000);
+    net.Messages = 0;
+    net.runUntil(40'000);
+    CHECK(static_cast<double>(net.Messages) / (20.0 * nodes) < 6);
+  }
+}
+
+TEST_GROUP(Acceptance){};
+
+TEST(Acceptance, WaitsForEveryNodeThatMayBeServing) {
+  struct Case {
+    MemberStatus Status;
+    uint64_t Revision;
+    bool Listed;
+    int AgeSeconds;
+    bool Waits;
+  };
+  const Case cases[] = {
+      {MemberStatus::Alive, 5, true, 0, false},
+      {MemberStatus::Alive, 4, false, 0, true},
+      {MemberStatus::Suspect, 4, true, 0, true},
+      {MemberStatus::Dead, 4, true, 3600, true},
+      {MemberStatus::Dead, 4, false, 30, true},
+      {MemberStatus::Dead, 4, false, 61, false},
+      {MemberStatus::Dead, 5, true, 3600, true},
+      {MemberStatus::Left, 4, true, 0, false},
+  };
+  for (const Case &it : cases) {
+    AgedMember member;
+    member.View.Self = memberOf(1);
+    member.View.Self.ProfileRevision = it.Revision;
+    member.View.Status = it.Status;
+    member.StatusAge = absl::Seconds(it.AgeSeconds);
+    std::vector<std::string> listed = {"n000"};
+    if (it.Listed)
+      listed.push_back("n001");
+    LONGS_EQUAL(it.Waits ? 1 : 0,
+                unconfirmedNodes(5, "n000", {member}, listed).size());
+  }
+}
+
+TEST(Acceptance, WaitsForListedNodesThatWereNeverHeardFrom) {
+  const auto waiting =
+      unconfirmedNodes(5, "n000", {}, std::vector<std::string>{"n000", "n009"});
+  LONGS_EQUAL(1, waiting.size());
+  STRCMP_EQUAL("n009", waiting[0].c_str());
+}
--- /dev/null
+++ b/tests/core/test_routing.cpp
@@ -0,0 +1,119 @@
+#include "core/limits/stream_limiter.h"
+#include "core/routing/fleet_router.h"
+#include "tests/support/request_fixture.h"
+
+#include <CppUTest/TestHarness.h>
+#include <map>
+
+using namespace orioletally;
+using namespace orioletally::core::routing;
+using tests::at;
+using tests::engineVm;
+
+TEST_GROUP(FleetRouter) {
+  FleetRouter router{RouterSettings{}};
+  RouteQuery query;
+
+  void setup() override {
+    query.Model = "default";
+    query.Policy = "predicted_first_token";
+    query.PromptTokens = 1000;
+    query.MaxTokens = 10;
+    router.registry().replaceList({engineVm("a"), engineVm("b")}, at(0));
+  }
+
+  std::string choose(absl::Time now) {
+    const RouteResult result = router.select(query, now);
+    if (const auto *choice = std::get_if<RouteChoice>(&result))
+      return choice->BackendId;
+    return std::string(routeRefusalName(std::get<RouteDenied>(result).Reason));
+  }
+};
+
+TEST(FleetRouter, LeavingBackendGetsNoNewWork) {
+  router.registry().markLeaving("a", at(0));
+  for (int n = 0; n < 50; ++n)
+    STRCMP_EQUAL("b", choose(at(n)).c_str());
+}
+
+TEST(FleetRouter, StaleListDoesNotBringBackALeavingBackend) {
+  router.registry().markLeaving("a", at(0));
+  router.registry().replaceList({engineVm("a"), engineVm("b")}, at(100));
+  STRCMP_EQUAL("b", choose(at(101)).c_str());
+}
+
+TEST(FleetRouter, EmptyListIsTakenForAFaultOfTheList) {
+  router.registry().replaceList({}, at(100));
+  CHECK(choose(at(101)) != "none_known");
+}
+
+TEST(FleetRouter, UnlistedBackendGetsNoNewWork) {
+  router.registry().replaceList({engineVm("b")}, at(100));
+  for (int n = 0; n < 20; ++n)
+    STRCMP_EQUAL("b", choose(at(101)).c_str());
+}
+
+TEST(FleetRouter, PromptLargerThanEveryBackendIsSaidToBe) {
+  query.PromptTokens = 2'000'000;
+  STRCMP_EQUAL("too_large", choose(at(0)).c_str());
+}
+
+TEST(FleetRouter, SpreadsByWhatItSentItself) {
+  query.PromptTokens = 100'000;
+  std::map<std::string, int> chosen;
+  for (int n = 0; n < 10; ++n)
+    ++chosen[choose(at(0))];
+  LONGS_EQUAL(5, chosen["a"]);
+  LONGS_EQUAL(5, chosen["b"]);
+}
+
+TEST(FleetRouter, PrefersTheBackendThatHasThePrefix) {
+  query.PromptTokens = 50'000;
+  query.Prefix = {{16384, 77}};
+  const std::string first = choose(at(0));
+  // Far enough on for the first prefill to be worked off.
+  for (int n = 1; n < 5; ++n)
+    STRCMP_EQUAL(first.c_str(), choose(at(n * 10'000)).c_str());
+}
+
+TEST(FleetRouter, RetriesAreBoundByTheBudget) {
+  // Half of the backend servers refuse; every request that is refused is
+  // tried again while the budget lasts.
+  int submits = 0;
+  constexpr int Requests = 2000;
+  for (int n = 0; n < Requests; ++n) {
+    query.AttemptsMade = 0;
+    query.Exclude.clear();
+    while (query.AttemptsMade < 3) {
+      const absl::Time now = at(n * 5);
+      const std::string id = choose(now);
+      if (id != "a" && id != "b")
+        break;
+      ++submits;
+      ++query.AttemptsMade;
+      const bool isRefused = id == "a";
+      if (isRefused)
+        router.refused(id, 0, false, now);
+      router.released(id, query, !isRefused, now);
+      if (!isRefused)
+        break;
+      query.Exclude.push_back(id);
+    }
+  }
+  CHECK(submits < 1.2 * Requests);
+}
+
+TEST_GROUP(StreamLimiter){};
+
+TEST(StreamLimiter, OneWorkspaceMayUseAnIdleNodeButNotABusyOne) {
+  core::limits::StreamLimiter limiter(10);
+  using core::limits::StreamVerdict;
+  for (int n = 0; n < 8; ++n)
+    CHECK(limiter.tryEnter("large") == StreamVerdict::Admitted);
+  CHECK(limiter.tryEnter("small") == StreamVerdict::Admitted);
+  CHECK(limiter.tryEnter("large") == StreamVerdict::WorkspaceFull);
+  CHECK(limiter.tryEnter("small") == StreamVerdict::Admitted);
+  CHECK(limiter.tryEnter("small") == StreamVerdict::NodeFull);
+  limiter.leave("large");
+  CHECK(limiter.tryEnter("small") == StreamVerdict::Admitted);
+}
--- /dev/null
+++ b/tests/support/fleet_fixture.h
@@ -0,0 +1,80 @@
+#ifndef ORIOLETALLY_TESTS_SUPPORT_FLEET_FIXTURE_H
+#define ORIOLETALLY_TESTS_SUPPORT_FLEET_FIXTURE_H
+
+#include "tests/lab/engine_server.h"
+#include "tests/lab/load_client.h"
+#include "tests/lab/platform_server.h"
+#include "tests/lab/service_server.h"
+#include "tests/support/node_process.h"
+
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+namespace orioletally::tests {
+
+/// An answer to a test's own HTTP request.
+struct HttpAnswer {
+  int Status = 0;
+  bool Whole = false;
+  std::string Body;
+  std::string EntityTag;
+  std::string RetryAfter;
+  std::string RequestId;
+
+  nlohmann::json json() const {
+    return nlohmann::json::parse(Body, nullptr, false);
+  }
+  /// A word of the error, such as "run"; empty when there is none.
+  std::string error(const std::string &word) const;
+};
+
+/// Headers of a request, by name.
+using HeaderList = std::vector<std::pair<std::string, std::string>>;
+
+/// Sends one request and waits for the whole answer.
+HttpAnswer httpCall(const std::string &address, const std::string &method,
+                    const std::string &path, const std::string &token,
+                    const std::string &body = "",
+                    const HeaderList &headers = {});
+
+/// Waits until \p holds; false after \p bound.
+bool eventually(const std::function<bool()> &holds,
+                std::chrono::milliseconds bound = std::chrono::seconds(10));
+
+/// A platform, engines and services in this process, and entry nodes as child
+/// processes.
+class FleetFixture {
+public:
+  explicit FleetFixture(int engines, int services = 1,
+                        const lab::EngineSpeeds &speeds = {});
+  ~FleetFixture();
+
+  NodeProcess &addNode(const NodeOptions &options = {});
+
+  /// Adds a node and waits until it is ready and knows all others.
+  NodeProcess &addReadyNode(const NodeOptions &options = {});
+
+  /// Tells the VM list about an engine.
+  void listEngine(int n, bool isLeaving);
+  void removeVm(const std::string &id);
+
+  /// Creates a profile through \p node; returns the answer.
+  static HttpAnswer createProfile(const NodeProcess &node,
+                                  const std::string &name,
+                                  const nlohmann::json &fields);
+
+  std::unique_ptr<lab::PlatformServer> Platform;
+  std::vector<std::unique_ptr<lab::EngineServer>> Engines;
+  std::vector<std::unique_ptr<lab::ServiceServer>> Services;
+  std::vector<std::unique_ptr<NodeProcess>> Nodes;
+
+private:
+  lab::EngineSpeeds Speeds;
+};
+
+} // namespace orioletally::tests
+
+#endif
--- /dev/null
+++ b/tests/support/request_fixture.h
@@ -0,0 +1,57 @@
+#ifndef ORIOLETALLY_TESTS_SUPPORT_REQUEST_FIXTURE_H
+#define ORIOLETALLY_TESTS_SUPPORT_REQUEST_FIXTURE_H
+
+#include "charts/embedded_charts.h"
+#include "core/platform/vm_list.h"
+#include "core/requests/request_machine.h"
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+namespace orioletally::tests {
+
+/// A point in virtual time, \p ms after the start of a test.
+inline absl::Time at(int64_t ms) {
+  return absl::UnixEpoch() + absl::Milliseconds(1'000'000 + ms);
+}
+
+/// A profile with these fields and defaults for the rest.
+core::profiles::Profile
+profileWith(const nlohmann::json &fields = nlohmann::json::object());
+
+/// A plan of a streaming request under \p profile.
+core::requests::RequestPlan planWith(core::profiles::Profile profile,
+                                     std::string requestId = "r-1");
+
+/// The chart that the product uses.
+const core::charts::StateChart &requestChart();
+
+/// An engine as the VM list would state it.
+core::platform::Vm engineVm(const std::string &id,
+                            int64_t memoryTokens = 1'000'000,
+                            int64_t prefillRate = 50'000);
+
+/// Hands out choices that a test has queued, and notes what it is told.
+class ScriptedSelector : public core::routing::BackendSelector {
+public:
+  std::vector<core::routing::RouteResult> Results;
+  std::vector<std::string> Told;
+
+  core::routing::RouteResult select(const core::routing::RouteQuery &query,
+                                    absl::Time now) override;
+  void refused(const std::string &backend, int64_t retryAfterMs, bool draining,
+               absl::Time now) override;
+  void failed(const std::string &backend, absl::Time now) override;
+  void released(const std::string &backend,
+                const core::routing::RouteQuery &query, bool completed,
+                absl::Time now) override;
+
+  /// Queues a choice of \p backend.
+  void offer(const std::string &backend,
+             absl::Duration predicted = absl::ZeroDuration());
+};
+
+} // namespace orioletally::tests
+
+#endif
--- /dev/null
+++ b/tests/system/test_callers.cpp
@@ -0,0 +1,247 @@
+#include "tests/support/fleet_fixture.h"
+
+#include <CppUTest/TestHarness.h>
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+using namespace orioletally;
+using nlohmann::json;
+using tests::eventually;
+using tests::FleetFixture;
+using tests::HttpAnswer;
+using tests::httpCall;
+using tests::NodeProcess;
+
+namespace {
+
+/// Opens a plain connection, writes \p text and returns the socket.
+int openAndWrite(const std::string &address, const std::string &text) {
+  const size_t colon = address.find(':');
+  sockaddr_in target{};
+  target.sin_family = AF_INET;
+  target.sin_port =
+      htons(static_cast<uint16_t>(std::stoi(address.substr(colon + 1))));
+  inet_pton(AF_INET, address.substr(0, colon).c_str(), &target.sin_addr);
+  const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+  ::connect(fd, reinterpret_cast<sockaddr *>(&target), sizeof(target));
+  ::send(fd, text.data(), text.size(), MSG_NOSIGNAL);
+  return fd;
+}
+
+std::string streamingRequest(int maxTokens) {
+  const std::string body = json({{"model", "p"},
+                                 {"prompt", "hello"},
+                                 {"max_tokens", maxTokens},
+                                 {"stream", true}})
+                               .dump();
+  return "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "
+         "caller\r\nContent-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+} // namespace
+
+TEST_GROUP(Callers) {
+  std::unique_ptr<FleetFixture> fleet;
+  NodeProcess *node = nullptr;
+
+  void setup() override {
+    fleet = std::make_unique<FleetFixture>(2);
+    node = &fleet->addReadyNode();
+    LONGS_EQUAL(201, FleetFixture::createProfile(*node, "p",
+                                                 {{"max_prompt_tokens", 2000}})
+                         .Status);
+    FleetFixture::createProfile(*node, "closed", {{"workspaces", {"v"}}});
+    FleetFixture::createProfile(
+        *node, "sub",
+        {{"kind", "service"}, {"service", "records"}, {"repeatable", false}});
+  }
+  void teardown() override { fleet.reset(); }
+
+  HttpAnswer complete(const json &body, const std::string &token = "caller") {
+    return httpCall(node->address(), "POST", "/v1/completions", token,
+                    body.dump());
+  }
+};
+
+TEST(Callers, AnswersHaveTheUsualShape) {
+  const HttpAnswer text =
+      complete({{"model", "p"}, {"prompt", "hello"}, {"max_tokens", 3}});
+  LONGS_EQUAL(200, text.Status);
+  CHECK(!text.RequestId.empty());
+  const uint64_t hash = lab::hashPrompt("hello");
+  const std::string expected = lab::answerToken(hash, 0) +
+                               lab::answerToken(hash, 1) +
+                               lab::answerToken(hash, 2);
+  STRCMP_EQUAL(expected.c_str(),
+               text.json()["choices"][0]["text"].get<std::string>().c_str());
+  LONGS_EQUAL(3, text.json()["usage"]["completion_tokens"].get<int>());
+
+  const HttpAnswer chat =
+      httpCall(node->address(), "POST", "/v1/chat/completions", "caller",
+               json({{"model", "p"},
+                     {"messages", {{{"role", "user"}, {"content", "hello"}}}},
+                     {"max_tokens", 2}})
+                   .dump());
+  STRCMP_EQUAL(
+      "assistant",
+      chat.json()["choices"][0]["message"]["role"].get<std::string>().c_str());
+  const HttpAnswer stream = complete({{"model", "p"},
+                                      {"prompt", "hello"},
+                                      {"max_tokens", 2},
+                                      {"stream", true}});
+  CHECK(stream.Body.ends_with("data: [DONE]\n\n"));
+  const HttpAnswer models =
+      httpCall(node->address(), "GET", "/v1/models", "caller");
+  LONGS_EQUAL(1, models.json()["data"].size());
+}
+
+TEST(Callers, BadInputEndsInAClearErrorThatRanNothing) {
+  struct Case {
+    const char *Method;
+    const char *Path;
+    const char *Token;
+    std::string Body;
+    int Status;
+    const char *Code;
+  };
+  const std::string longPrompt(20'000, 'x');
+  const Case cases[] = {
+      {"POST", "/v1/completions", "wrong", "{}", 401, "unauthorized"},
+      {"POST", "/v1/completions", "operator", "{}", 403, "forbidden"},
+      {"POST", "/v1/completions", "caller", "{\"model\":", 400, "bad_request"},
+      {"POST", "/v1/completions", "caller", "[]", 400, "bad_request"},
+      {"POST", "/v1/completions", "caller", R"({"prompt":"x"})", 400,
+       "bad_request"},
+      {"POST", "/v1/completions", "caller", R"({"model":"none","prompt":"x"})",
+       404, "not_found"},
+      {"POST", "/v1/completions", "caller",
+       R"({"model":"closed","prompt":"x"})", 403, "forbidden"},
+      {"POST", "/v1/completions", "caller", R"({"model":"sub","prompt":"x"})",
+       400, "bad_request"},
+      {"POST", "/v1/completions", "caller",
+       R"({"model":"p","prompt":"x","max_tokens":-1})", 400, "bad_request"},
+      {"POST", "/v1/completions", "caller",
+       R"({"model":"p","prompt":"x","max_tokens":1e30})", 400, "bad_request"},
+      {"POST", "/v1/completions", "caller",
+       R"({"model":"p","prompt":"x","max_tokens":99999999})", 400,
+       "bad_request"},
+      {"POST", "/v1/completions", "caller", R"({"model":"p","prompt":""})", 400,
+       "bad_request"},
+      {"POST", "/v1/completions", "caller",
+       json({{"model", "p"}, {"prompt", longPrompt}}).dump(), 413,
+       "payload_too_large"},
+      {"POST", "/v1/chat/completions", "caller",
+       R"({"model":"p","messages":[{"role":1}]})", 400, "bad_request"},
+      {"POST", "/v1/services/none/x", "caller", "x", 404, "not_found"},
+      {"GET", "/v1/nothing", "caller", "", 404, "not_found"},
+      {"GET", "/v1/profiles", "caller", "", 403, "forbidden"},
+      {"PUT", "/v1/profiles/q", "operator", "{}", 428, "precondition_required"},
+      {"DELETE", "/v1/profiles/p", "operator", "", 428,
+       "precondition_required"},
+  };
+  for (const Case &it : cases) {
+    const HttpAnswer answer =
+        httpCall(node->address(), it.Method, it.Path, it.Token, it.Body);
+    LONGS_EQUAL_TEXT(it.Status, answer.Status, it.Body.c_str());
+    STRCMP_EQUAL(it.Code, answer.error("code").c_str());
+    STRCMP_EQUAL("not_run", answer.error("run").c_str());
+  }
+  LONGS_EQUAL(0, fleet->Engines[0]->submits() + fleet->Engines[1]->submits());
+}
+
+TEST(Callers, BodyBeyondTheLimitIsRefused) {
+  const HttpAnswer answer =
+      complete({{"model", "p"}, {"prompt", std::string(17 << 20, 'x')}});
+  LONGS_EQUAL(413, answer.Status);
+  STRCMP_EQUAL("payload_too_large", answer.error("code").c_str());
+}
+
+TEST(Callers, CallerThatLeavesFreesTheEngineWithinASecond) {
+  const int fd = openAndWrite(node->address(), streamingRequest(4000));
+  CHECK(eventually([&] {
+    return fleet->Engines[0]->heldTokens() + fleet->Engines[1]->heldTokens() >
+           0;
+  }));
+  ::close(fd);
+  CHECK(eventually(
+      [&] {
+        return fleet->Engines[0]->heldTokens() +
+                   fleet->Engines[1]->heldTokens() ==
+               0;
+      },
+      std::chrono::seconds(1)));
+}
+
+TEST(Callers, ExplainNamesTheBackendServerAndTheRevision) {
+  const HttpAnswer answer =
+      complete({{"model", "p"}, {"prompt", "hello"}, {"max_tokens", 1}});
+  json found;
+  CHECK(eventually([&] {
+    const HttpAnswer explained = httpCall(
+        node->address(), "GET", "/v1/requests/" + answer.RequestId, "operator");
+    found = explained.json();
+    return explained.Status == 200;
+  }));
+  LONGS_EQUAL(1, found["profile_revision"].get<int>());
+  CHECK(found["backend"].get<std::string>().starts_with("engine-"));
+  CHECK(!found["steps"].empty());
+  CHECK(found.dump().find("hello") == std::string::npos);
+}
+
+TEST(Callers, RepeatOfAnUnrepeatableCallGetsTheFirstAnswer) {
+  const auto send = [&](const std::string &body) {
+    return httpCall(node->address(), "POST", "/v1/services/sub/apply", "caller",
+                    body, {{"Idempotency-Key", "k1"}});
+  };
+  const HttpAnswer first = send("a");
+  LONGS_EQUAL(200, first.Status);
+  STRCMP_EQUAL(first.Body.c_str(), send("a").Body.c_str());
+  LONGS_EQUAL(409, send("b").Status);
+  LONGS_EQUAL(1, fleet->Services[0]->executions()["k1"]);
+}
+
+TEST(Callers, SlowCallerIsGivenUpOn) {
+  tests::NodeOptions options;
+  options.RequestMs = 500;
+  NodeProcess &hasty = fleet->addReadyNode(options);
+  const int fd =
+      openAndWrite(hasty.address(), "POST /v1/completions HTTP/1.1\r\n");
+  const timeval bound{10, 0};
+  ::setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &bound, sizeof(bound));
+  const auto started = std::chrono::steady_clock::now();
+  std::string answer;
+  char buf[512];
+  for (ssize_t n = 0; (n = ::recv(fd, buf, sizeof(buf), 0)) > 0;)
+    answer.append(buf, static_cast<size_t>(n));
+  ::close(fd);
+  CHECK(std::chrono::steady_clock::now() - started < std::chrono::seconds(2));
+  CHECK(answer.find("408") != std::string::npos);
+  CHECK(answer.find("request_timeout") != std::string::npos);
+}
+
+TEST(Callers, FullNodeRefusesAtOnceAndKeepsAnsweringOperators) {
+  tests::NodeOptions options;
+  options.MaxStreams = 2;
+  NodeProcess &small = fleet->addReadyNode(options);
+  const int one = openAndWrite(small.address(), streamingRequest(2000));
+  const int two = openAndWrite(small.address(), streamingRequest(2000));
+  CHECK(eventually([&] {
+    const json status =
+        httpCall(small.address(), "GET", "/v1/status", "operator").json();
+    return status["in_progress"] == 2;
+  }));
+  const HttpAnswer refused =
+      httpCall(small.address(), "POST", "/v1/completions", "caller",
+               json({{"model", "p"}, {"prompt", "x"}}).dump());
+  LONGS_EQUAL(503, refused.Status);
+  STRCMP_EQUAL("overloaded", refused.error("code").c_str());
+  STRCMP_EQUAL("not_run", refused.error("run").c_str());
+  CHECK(!refused.RetryAfter.empty());
+  LONGS_EQUAL(200, httpCall(small.address(), "GET", "/healthz", "").Status);
+  ::close(one);
+  ::close(two);
+}
