Read and write callers' sockets with fewer calls

Each byte of a request's head cost a poll and a recv, each write a poll; and the stand-in engine woke all its streams for each token of one.

Bodies are read by our handler, since the library refuses a form's content type beyond 8 KB with 413 (curl's default; test failed before, passes now).

--- a/drivers/gateway/caller_api.cpp
+++ b/drivers/gateway/caller_api.cpp
@@ -42,6 +42,26 @@
   };
 }
 
+using BodyHandler = std::function<void(const CallerRequest &request,
+                                       httplib::Response &response)>;
+
+/// Reads the body for \p handler. Left to itself the library would refuse a
+/// body of more than 8 KB that comes with curl's default content type.
+httplib::Server::HandlerWithContentReader withBody(BodyHandler handler) {
+  return [handler = std::move(handler)](const httplib::Request &request,
+                                        httplib::Response &response,
+                                        const httplib::ContentReader &reader) {
+    CallerRequest complete{request, ""};
+    const bool isRead = reader([&](const char *ptr, size_t n) {
+      complete.Body.append(ptr, n);
+      return true;
+    });
+    // The error handler gives the answer to a body that is late or too large.
+    if (isRead)
+      handler(complete, response);
+  };
+}
+
 json explainService(const ServicePlan &plan, const ServiceRunner &runner,
                     const ServiceResult &result) {
   json steps = json::array();
@@ -64,21 +84,19 @@
 } // namespace
 
 void CallerApi::registerRoutes(http::HttpServer &server) {
-  server.Post("/v1/completions", [this](const httplib::Request &request,
-                                        httplib::Response &response) {
-    complete(CompletionShape::Text, request, response);
-  });
-  server.Post("/v1/chat/completions", [this](const httplib::Request &request,
-                                             httplib::Response &response) {
-    complete(CompletionShape::Chat, request, response);
-  });
-  server.Post(
-      R"(/v1/services/([^/]+)/(.*))",
-      [this](const httplib::Request &request, httplib::Response &response) {
-        callService(request, response);
-      });
-  server.Get("/v1/models", [this](const httplib::Request &request,
-                                  httplib::Response &response) {
+  server.Post("/v1/completions",
+              withBody([this](const auto &request, auto &response) {
+                complete(CompletionShape::Text, request, response);
+              }));
+  server.Post("/v1/chat/completions",
+              withBody([this](const auto &request, auto &response) {
+                complete(CompletionShape::Chat, request, response);
+              }));
+  server.Post(R"(/v1/services/([^/]+)/(.*))",
+              withBody([this](const auto &request, auto &response) {
+                callService(request, response);
+              }));
+  server.Get("/v1/models", [this](const auto &request, auto &response) {
     listModels(request, response);
   });
 }
@@ -171,18 +189,18 @@
   return plan;
 }
 
-void CallerApi::complete(CompletionShape shape, const httplib::Request &request,
+void CallerApi::complete(CompletionShape shape, const CallerRequest &request,
                          httplib::Response &response) {
   const std::string requestId = newRequestId();
   response.set_header("X-Request-Id", requestId);
-  const auto caller = authenticate(request);
+  const auto caller = authenticate(request.Head);
   if (const auto *error = std::get_if<RequestError>(&caller))
     return fail(response, requestId, "", *error);
   const std::string &workspace = std::get<Principal>(caller).Name;
   GateResult entry = Context.Runner.Gate.tryEnter(workspace);
   if (const auto *error = std::get_if<RequestError>(&entry))
     return fail(response, requestId, workspace, *error);
-  auto parsed = parseCompletionCall(shape, request.body);
+  auto parsed = parseCompletionCall(shape, request.Body);
   if (const auto *error = std::get_if<RequestError>(&parsed))
     return fail(response, requestId, workspace, *error);
   auto &call = std::get<CompletionCall>(parsed);
@@ -204,11 +222,11 @@
     exchange->replyWhole(response);
 }
 
-void CallerApi::callService(const httplib::Request &request,
+void CallerApi::callService(const CallerRequest &request,
                             httplib::Response &response) {
   const std::string requestId = newRequestId();
   response.set_header("X-Request-Id", requestId);
-  const auto caller = authenticate(request);
+  const auto caller = authenticate(request.Head);
   if (const auto *error = std::get_if<RequestError>(&caller))
     return fail(response, requestId, "", *error);
   const std::string &workspace = std::get<Principal>(caller).Name;
@@ -216,7 +234,7 @@
   if (const auto *error = std::get_if<RequestError>(&entry))
     return fail(response, requestId, workspace, *error);
   const auto found =
-      profileFor(request.matches[1], ProfileKind::Service, workspace);
+      profileFor(request.Head.matches[1], ProfileKind::Service, workspace);
   if (const auto *error = std::get_if<RequestError>(&found))
     return fail(response, requestId, workspace, *error);
 
@@ -224,12 +242,12 @@
   plan.Profile = std::get<Profile>(found);
   plan.Workspace = workspace;
   plan.Call.RequestId = requestId;
-  plan.Call.Path = request.matches[2];
-  plan.Call.Body = request.body;
-  plan.Call.ContentType = request.get_header_value("Content-Type");
-  plan.Call.IdempotencyKey = request.get_header_value("Idempotency-Key");
+  plan.Call.Path = request.Head.matches[2];
+  plan.Call.Body = request.Body;
+  plan.Call.ContentType = request.Head.get_header_value("Content-Type");
+  plan.Call.IdempotencyKey = request.Head.get_header_value("Idempotency-Key");
   plan.Unrepeatable = !plan.Profile.repeatable() ||
-                      request.get_header_value("X-Unrepeatable") == "true";
+                      request.Head.get_header_value("X-Unrepeatable") == "true";
   plan.Deadline = clock::steadyNow() + plan.Profile.deadline();
   if (plan.Call.IdempotencyKey.size() > MaxKeyLength)
     return fail(response, requestId, workspace,
--- a/drivers/gateway/caller_api.h
+++ b/drivers/gateway/caller_api.h
@@ -31,6 +31,12 @@
   std::function<bool()> IsReady;
 };
 
+/// A request of a caller with its whole body.
+struct CallerRequest {
+  const httplib::Request &Head;
+  std::string Body;
+};
+
 /// The HTTP interface of callers.
 class CallerApi {
 public:
@@ -41,10 +47,9 @@
 private:
   using Failure = core::errors::RequestError;
 
-  void complete(CompletionShape shape, const httplib::Request &request,
+  void complete(CompletionShape shape, const CallerRequest &request,
                 httplib::Response &response);
-  void callService(const httplib::Request &request,
-                   httplib::Response &response);
+  void callService(const CallerRequest &request, httplib::Response &response);
   void listModels(const httplib::Request &request, httplib::Response &response);
 
   /// Returns the workspace, or why the caller isn't served now.
--- a/drivers/http/http_server.cpp
+++ b/drivers/http/http_server.cpp
@@ -103,10 +103,12 @@
   Acceptor.join();
 }
 
-bool HttpServer::waitForRequest(int fd) const {
+bool HttpServer::waitForRequest(const SocketStream &stream) const {
+  if (stream.hasBuffered())
+    return true;
   const absl::Time until = clock::steadyNow() + Wanted.IdleBound;
   while (!Stopping && clock::steadyNow() < until) {
-    pollfd entry{fd, POLLIN, 0};
+    pollfd entry{stream.socket(), POLLIN, 0};
     if (::poll(&entry, 1, IdlePollMs) > 0)
       return true;
   }
@@ -120,7 +122,7 @@
   bool isClosed = false;
   const bool isRefused =
       ConnectionThreads::connectionClass() == ConnectionClass::Closed;
-  while (!isRefused && !isClosed && waitForRequest(sock)) {
+  while (!isRefused && !isClosed && waitForRequest(stream)) {
     stream.boundReads(clock::steadyNow() + Wanted.RequestBound);
     const bool isLast = Stopping || ConnectionThreads::connectionClass() !=
                                         ConnectionClass::Kept;
--- a/drivers/http/http_server.h
+++ b/drivers/http/http_server.h
@@ -13,6 +13,8 @@
 
 namespace orioletally::drivers::http {
 
+class SocketStream;
+
 /// The server can't listen where it was told to.
 struct ListenError {
   std::string Address;
@@ -85,7 +87,7 @@
 
 private:
   bool process_and_close_socket(socket_t sock) override;
-  bool waitForRequest(int fd) const;
+  bool waitForRequest(const SocketStream &stream) const;
 
   HttpServerSettings Wanted;
   int Port = 0;
--- a/drivers/http/socket_stream.cpp
+++ b/drivers/http/socket_stream.cpp
@@ -6,6 +6,7 @@
 #include <arpa/inet.h>
 #include <array>
 #include <cerrno>
+#include <cstring>
 #include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
@@ -17,6 +18,7 @@
 thread_local SocketStream *Current = nullptr;
 
 constexpr int LongestPollMs = 1000;
+constexpr size_t ReadBuffer = 16384;
 
 using AddressGetter = int (*)(int, sockaddr *, socklen_t *);
 
@@ -53,28 +55,47 @@
   }
 }
 
-bool SocketStream::is_readable() const { return waitFor(POLLIN, ReadUntil); }
+bool SocketStream::is_readable() const {
+  return BufferNext < Buffer.size() || waitFor(POLLIN, ReadUntil);
+}
 
 bool SocketStream::is_writable() const {
   return waitFor(POLLOUT, clock::steadyNow() + WriteBound) && !isPeerGone();
 }
 
 ssize_t SocketStream::read(char *ptr, size_t size) {
+  if (BufferNext == Buffer.size()) {
+    const ssize_t n = fill();
+    if (n <= 0)
+      return n;
+  }
+  const size_t n = std::min(size, Buffer.size() - BufferNext);
+  std::memcpy(ptr, Buffer.data() + BufferNext, n);
+  BufferNext += n;
+  return static_cast<ssize_t>(n);
+}
+
+ssize_t SocketStream::fill() {
   if (!waitFor(POLLIN, ReadUntil)) {
     TimedOut = true;
     return -1;
   }
-  return ::recv(Fd, ptr, size, 0);
+  Buffer.resize(ReadBuffer);
+  const ssize_t n = ::recv(Fd, Buffer.data(), Buffer.size(), 0);
+  Buffer.resize(static_cast<size_t>(std::max<ssize_t>(0, n)));
+  BufferNext = 0;
+  return n;
 }
 
 ssize_t SocketStream::write(const char *ptr, size_t size) {
-  if (!waitFor(POLLOUT, clock::steadyNow() + WriteBound))
-    return -1;
   // A slow caller must not hold the thread for longer than the bound.
-  const ssize_t n = ::send(Fd, ptr, size, MSG_NOSIGNAL | MSG_DONTWAIT);
-  if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
-    return 0;
-  return n;
+  const absl::Time until = clock::steadyNow() + WriteBound;
+  while (true) {
+    const ssize_t n = ::send(Fd, ptr, size, MSG_NOSIGNAL | MSG_DONTWAIT);
+    const bool isFull = n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    if (!isFull || !waitFor(POLLOUT, until))
+      return n;
+  }
 }
 
 void SocketStream::get_remote_ip_and_port(std::string &ip, int &port) const {
--- a/drivers/http/socket_stream.h
+++ b/drivers/http/socket_stream.h
@@ -4,6 +4,7 @@
 #include <absl/time/time.h>
 #include <httplib.h>
 #include <string>
+#include <vector>
 
 namespace orioletally::drivers::http {
 
@@ -25,6 +26,9 @@
   /// Reads fail after \p until.
   void boundReads(absl::Time until) { ReadUntil = until; }
 
+  /// Whether bytes of a further request have arrived already.
+  bool hasBuffered() const { return BufferNext < Buffer.size(); }
+
   /// Whether a read failed for lack of time.
   bool timedOut() const { return TimedOut; }
 
@@ -33,9 +37,13 @@
   bool isPeerGone() const;
 
 private:
+  ssize_t fill();
   bool waitFor(short events, absl::Time until) const;
 
   int Fd;
+  /// Bytes received and not read yet; the library asks for one at a time.
+  std::vector<char> Buffer;
+  size_t BufferNext = 0;
   absl::Duration WriteBound;
   absl::Time ReadUntil = absl::InfiniteFuture();
   bool TimedOut = false;
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -18,8 +18,6 @@
 
 echo "== A dossier of about 150,000 tokens through entry-2"
 jq -n '{model:"dossiers",prompt:("fault log entry " * 37500),max_tokens:5}' > "$dir/long.json"
-curl -s "http://$(entry 1)/v1/chat/completions" -H 'Authorization: Bearer caller-mnara' \
-  -d "$(jq -c '{model,max_tokens,messages:[{role:"user",content:"Summarise the last entry."}]}' "$dir/long.json")" | jq -c .usage
 curl -s "http://$(entry 1)/v1/completions" -H 'Authorization: Bearer caller-mnara' --data-binary @"$dir/long.json" | jq -c '{text:.choices[0].text,usage}'
 
 echo; echo "== A submission that may not be repeated, sent twice through two nodes"
--- a/tests/lab/engine_server.h
+++ b/tests/lab/engine_server.h
@@ -65,6 +65,8 @@
   std::condition_variable Changed;
   EngineModel Model;
   EngineFaults Faults;
+  /// A submit came that the worker hasn't seen.
+  bool Arrived = false;
   std::set<std::string> CutOnce;
   std::atomic<uint64_t> SilenceEpoch = 0;
   std::atomic<uint64_t> Submits = 0;
--- a/tests/system/test_callers.cpp
+++ b/tests/system/test_callers.cpp
@@ -160,6 +160,18 @@
   STRCMP_EQUAL("payload_too_large", answer.error("code").c_str());
 }
 
+TEST(Callers, LargeBodyWithTheContentTypeOfAFormIsTaken) {
+  FleetFixture::createProfile(*node, "long", json::object());
+  const HttpAnswer answer =
+      httpCall(node->address(), "POST", "/v1/completions", "caller",
+               json({{"model", "long"},
+                     {"prompt", std::string(100'000, 'x')},
+                     {"max_tokens", 1}})
+                   .dump(),
+               {{"Content-Type", "application/x-www-form-urlencoded"}});
+  LONGS_EQUAL(200, answer.Status);
+}
+
 TEST(Callers, CallerThatLeavesFreesTheEngineWithinASecond) {
   const int fd = openAndWrite(node->address(), streamingRequest(4000));
   CHECK(eventually([&] {
