Check the history of requests under seeded faults in virtual time

Cause: in time, own answer and not run had unit tests only.

Change: RequestWorld runs the product's machine and router against stand-in engines with kills, quick restarts, refusals, silence, freezes, lost answers, late submits, foreign, repeated and missing frames; each history is checked. mutations.sh breaks one decision at a time in a scratch copy and runs the checks there.

Found: an engine that restarted has forgotten what it ran, so its answer never_started to a cancel proves nothing about submits from before. A cancel's answer now carries the engine's uptime, and the promise counts only when the engine is older than the submit.

--- a/core/backends/engine_client.h
+++ b/core/backends/engine_client.h
@@ -24,6 +24,14 @@
 /// of the same stream that arrives later is refused.
 enum class CancelState { NeverStarted, Stopped, Finished };
 
+/// An engine's answer to a cancel, with the time since it started: an engine
+/// that restarted has forgotten what it ran, and its `NeverStarted` is worth
+/// nothing about submits from before.
+struct CancelAnswer {
+  CancelState State = CancelState::Finished;
+  absl::Duration Uptime;
+};
+
 /// Returns the wire name of \p state, such as "never_started".
 std::string_view cancelStateName(CancelState state);
 
@@ -112,9 +120,9 @@
          absl::Duration connect, std::shared_ptr<StreamObserver> observer) = 0;
 
   /// Cancels a stream and leaves a tombstone against a late submit.
-  virtual boost::leaf::result<CancelState> cancel(const std::string &address,
-                                                  const StreamId &stream,
-                                                  absl::Duration bound) = 0;
+  virtual boost::leaf::result<CancelAnswer> cancel(const std::string &address,
+                                                   const StreamId &stream,
+                                                   absl::Duration bound) = 0;
 
   /// Lists what the engine holds memory for.
   virtual boost::leaf::result<std::vector<StreamHolding>>
--- a/core/membership/failure_detector.cpp
+++ b/core/membership/failure_detector.cpp
@@ -122,8 +122,14 @@
   if (addresses.empty())
     return;
   const size_t n = Random() % addresses.size();
+  // The whole list is large; only a node that isn't a member here may know
+  // members that this one doesn't.
+  const bool isMember = absl::c_any_of(Members, [&](const auto &it) {
+    return isAlive(it.second) &&
+           it.second.View.Self.PeerAddress == addresses[n];
+  });
   findings.Outgoing.push_back(
-      {addresses[n], message(Ping{NextSequence++, true})});
+      {addresses[n], message(Ping{NextSequence++, !isMember})});
 }
 
 void FailureDetector::checkProbe(absl::Time now, TickFindings &findings) {
--- a/core/requests/request_events.h
+++ b/core/requests/request_events.h
@@ -32,7 +32,7 @@
 struct CancelAnswered {
   uint32_t Attempt;
   /// Empty when the cancel itself got no answer.
-  std::optional<backends::CancelState> State;
+  std::optional<backends::CancelAnswer> Answer;
 };
 struct CallerLeft {};
 struct DrainBoundReached {};
--- a/core/requests/request_machine.cpp
+++ b/core/requests/request_machine.cpp
@@ -107,6 +107,7 @@
   }
   ++Attempt;
   ++Connection;
+  SubmittedAt = now;
   NextOffset = 0;
   LostInARow = 0;
   note(now, fmt::format("attempt {} to {}: {}", Attempt, Current.BackendId,
@@ -255,12 +256,18 @@
 void RequestMachine::on(const CancelAnswered &event, absl::Time now) {
   if (state() != RequestState::Cancelling || event.Attempt != Attempt)
     return;
-  if (event.State == CancelState::NeverStarted) {
+  const bool knowsAll =
+      event.Answer.has_value() && event.Answer->Uptime >= now - SubmittedAt;
+  const bool isNeverStarted =
+      knowsAll && event.Answer->State == CancelState::NeverStarted;
+  if (isNeverStarted) {
     note(now, "the engine promises that the attempt never started");
     returnToQueue(RequestStep::StreamLost, now);
     return;
   }
-  HasRun = HasRun || event.State.has_value();
+  const bool hasRun = event.Answer.has_value() &&
+                      event.Answer->State != CancelState::NeverStarted;
+  HasRun = HasRun || hasRun;
   giveUp(ErrorCode::BackendFailed,
          "the backend server failed and the request may not be repeated",
          Plan.Profile.rule("repeatable"), 0, now);
--- a/core/requests/request_machine.h
+++ b/core/requests/request_machine.h
@@ -117,6 +117,7 @@
   bool HoldsBackend = false;
   uint32_t Attempt = 0;
   ConnectionNumber Connection = 0;
+  absl::Time SubmittedAt;
   uint64_t NextOffset = 0;
   /// Connections lost since the stream last made progress.
   int LostInARow = 0;
--- a/drivers/backend/engine_codec.cpp
+++ b/drivers/backend/engine_codec.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-using core::backends::CancelState;
+using core::backends::CancelAnswer;
 using core::backends::EngineRefusal;
 using core::backends::EngineSubmit;
 using core::backends::Frame;
@@ -130,12 +130,16 @@
   return loadFrom(object);
 }
 
-std::optional<CancelState> cancelFromJson(std::string_view body) {
+std::optional<CancelAnswer> cancelFromJson(std::string_view body) {
   const json object = parse(body);
   if (!object.is_object())
     return std::nullopt;
-  return core::backends::cancelStateFromName(
-      object.value("state", std::string()));
+  const auto state =
+      core::backends::cancelStateFromName(object.value("state", std::string()));
+  if (!state.has_value())
+    return std::nullopt;
+  return CancelAnswer{
+      *state, absl::Milliseconds(object.value("uptime_ms", int64_t{0}))};
 }
 
 } // namespace orioletally::drivers::backend
--- a/drivers/backend/engine_codec.h
+++ b/drivers/backend/engine_codec.h
@@ -30,7 +30,7 @@
 std::optional<core::backends::LoadReport> loadFromJson(std::string_view body);
 
 /// Reads the answer to a cancel; empty when it can't be read.
-std::optional<core::backends::CancelState>
+std::optional<core::backends::CancelAnswer>
 cancelFromJson(std::string_view body);
 
 /// Cuts a byte stream into lines.
--- a/drivers/backend/http_engine_client.cpp
+++ b/drivers/backend/http_engine_client.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 using core::backends::BackendError;
-using core::backends::CancelState;
+using core::backends::CancelAnswer;
 using core::backends::EngineConnection;
 using core::backends::EngineSubmit;
 using core::backends::LoadReport;
@@ -133,9 +133,9 @@
                                           std::move(observer));
 }
 
-leaf::result<CancelState> HttpEngineClient::cancel(const std::string &address,
-                                                   const StreamId &stream,
-                                                   absl::Duration bound) {
+leaf::result<CancelAnswer> HttpEngineClient::cancel(const std::string &address,
+                                                    const StreamId &stream,
+                                                    absl::Duration bound) {
   ExchangeRequest request;
   request.Address = address;
   request.Method = "DELETE";
--- a/drivers/backend/http_engine_client.h
+++ b/drivers/backend/http_engine_client.h
@@ -20,7 +20,7 @@
          uint64_t offset, absl::Duration connect,
          std::shared_ptr<core::backends::StreamObserver> observer) override;
 
-  boost::leaf::result<core::backends::CancelState>
+  boost::leaf::result<core::backends::CancelAnswer>
   cancel(const std::string &address, const core::backends::StreamId &stream,
          absl::Duration bound) override;
 
--- a/drivers/gateway/completion_runner.cpp
+++ b/drivers/gateway/completion_runner.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-using core::backends::CancelState;
+using core::backends::CancelAnswer;
 using core::backends::EngineRefusal;
 using core::backends::Frame;
 using core::backends::StreamId;
@@ -61,16 +61,16 @@
   ConnectionNumber Number;
 };
 
-std::optional<CancelState> cancelNow(core::backends::EngineClient &engines,
-                                     const std::string &address,
-                                     const StreamId &stream) {
+std::optional<CancelAnswer> cancelNow(core::backends::EngineClient &engines,
+                                      const std::string &address,
+                                      const StreamId &stream) {
   return leaf::try_handle_all(
-      [&]() -> leaf::result<std::optional<CancelState>> {
+      [&]() -> leaf::result<std::optional<CancelAnswer>> {
         BOOST_LEAF_AUTO(state,
                         engines.cancel(address, stream, CancelCallBound));
-        return std::optional<CancelState>(state);
+        return std::optional<CancelAnswer>(state);
       },
-      [] { return std::optional<CancelState>(); });
+      [] { return std::optional<CancelAnswer>(); });
 }
 
 } // namespace
@@ -227,10 +227,10 @@
   std::shared_ptr<EventInbox> inbox = action.Awaited ? Inbox : nullptr;
   Context.Background.submit(
       [&engines = Context.Engines, address = action.Address, stream, inbox] {
-        const std::optional<CancelState> state =
+        const std::optional<CancelAnswer> answer =
             cancelNow(engines, address, stream);
         if (inbox != nullptr)
-          inbox->push(CancelAnswered{stream.Attempt, state});
+          inbox->push(CancelAnswered{stream.Attempt, answer});
       });
 }
 
--- a/tests/contract/test_contracts.cpp
+++ b/tests/contract/test_contracts.cpp
@@ -63,9 +63,9 @@
                      const StreamId &stream) {
   return leaf::try_handle_all(
       [&]() -> leaf::result<std::string> {
-        BOOST_LEAF_AUTO(state,
+        BOOST_LEAF_AUTO(answer,
                         client.cancel(address, stream, absl::Seconds(2)));
-        return std::string(cancelStateName(state));
+        return std::string(cancelStateName(answer.State));
       },
       [] { return std::string("failed"); });
 }
--- a/tests/core/test_request_machine.cpp
+++ b/tests/core/test_request_machine.cpp
@@ -4,6 +4,7 @@
 
 using namespace orioletally;
 using namespace orioletally::core::requests;
+using core::backends::CancelAnswer;
 using core::backends::CancelState;
 using core::backends::Frame;
 using core::backends::FrameKind;
@@ -179,18 +180,23 @@
   LONGS_EQUAL(0, countOf<OpenSubmit>(asked));
   CHECK(findIn<SendCancel>(asked)->Awaited);
   const auto retried =
-      machine.handle(CancelAnswered{1, CancelState::NeverStarted}, at(3));
+      machine.handle(CancelAnswered{1, CancelAnswer{CancelState::NeverStarted,
+                                                    absl::Hours(1)}},
+                     at(3));
   LONGS_EQUAL(1, countOf<OpenSubmit>(retried));
 }
 
 TEST(RequestMachine, UnrepeatableRequestEndsWithWhatTheCancelSaid) {
   struct Case {
-    std::optional<CancelState> Answer;
+    std::optional<CancelAnswer> Answer;
     RunState Run;
   };
-  const Case cases[] = {{CancelState::Stopped, RunState::Ran},
-                        {CancelState::Finished, RunState::Ran},
-                        {std::nullopt, RunState::Unknown}};
+  const Case cases[] = {
+      {CancelAnswer{CancelState::Stopped, absl::Hours(1)}, RunState::Ran},
+      {CancelAnswer{CancelState::Finished, absl::Hours(1)}, RunState::Ran},
+      {CancelAnswer{CancelState::NeverStarted, absl::Milliseconds(1)},
+       RunState::Unknown},
+      {std::nullopt, RunState::Unknown}};
   for (const Case &it : cases) {
     selector.offer("a");
     RequestMachine machine = make({{"repeatable", false}});
--- /dev/null
+++ b/tests/history/mutations.sh
@@ -0,0 +1,48 @@
+#!/usr/bin/env bash
+# Shows that the history checks can fail: breaks one decision at a time in a
+# scratch copy and runs the checks there. Every row must say "caught".
+# Usage: tests/history/mutations.sh
+set -uo pipefail
+cd "$(dirname "$0")/../.."
+scratch=$(mktemp -d)
+trap 'rm -rf "$scratch"' EXIT
+git ls-files -co --exclude-standard | tar -cf - -T - | tar -xf - -C "$scratch"
+cd "$scratch"
+cmake -S . -B build -G Ninja > /dev/null
+cmake --build build --target tests-history > /dev/null || exit 1
+
+missed=0
+# mutate NAME FILES SED GROUP
+mutate() {
+  local files=$2 applied=1 out status
+  for file in $files; do
+    cp "$file" "$file.orig"
+    sed -i -E "$3" "$file"
+    cmp -s "$file" "$file.orig" && applied=0
+  done
+  if [ $applied -eq 0 ]; then
+    echo "| $1 | not applied |"; missed=1
+  elif ! cmake --build build --target tests-history > build.log 2>&1; then
+    echo "| $1 | doesn't build |"; missed=1
+  else
+    out=$(timeout 60 build/tests/tests-history -sg "$4" 2>&1); status=$?
+    if [ $status -eq 0 ]; then echo "| $1 | MISSED |"; missed=1
+    elif [ $status -eq 124 ]; then echo "| $1 | caught: never ends |"
+    else echo "| $1 | caught: $(grep -m1 -oE '[a-z0-9-]+: [^.]*\. Replay: ORIOLETALLY_SEED=[0-9]+' <<< "$out" || grep -m1 -oE 'Failure in .*' <<< "$out") |"; fi
+  fi
+  for file in $files; do mv "$file.orig" "$file"; touch "$file"; done
+}
+machine=core/requests/request_machine.cpp
+echo "| decision broken | result |"
+echo "| --- | --- |"
+mutate "foreign frames taken" $machine 's/event\.Frame\.RequestId != Plan\.RequestId/false/' RequestHistory
+mutate "duplicate tokens taken" $machine 's/frame\.Offset < NextOffset/false/' RequestHistory
+mutate "gaps ignored" $machine 's/frame\.Offset > NextOffset/false/' RequestHistory
+mutate "final frame taken early" $machine 's/frame\.Offset != NextOffset/false/' RequestHistory
+mutate "deadline ignored" $machine 's/now >= Plan\.Deadline/false/' RequestHistory
+mutate "second sample spliced on" $machine 's/NextOffset > 0 \&\& Plan\.Streaming/false/' RequestHistory
+mutate "written submit called not run" $machine 's/return MayHaveRun \? RunState::Unknown : RunState::NotRun/return RunState::NotRun/' RequestHistory
+mutate "unrepeatable request repeated" $machine 's/!Plan\.Profile\.repeatable\(\)/false/' RequestHistory
+mutate "restarted engine believed" $machine 's/event\.Answer->Uptime >= now - SubmittedAt/true/' RequestHistory
+mutate "neither retry budget nor set-aside" "core/routing/backend_registry.cpp core/routing/fleet_router.cpp" 's/std::min\(grown, LongestAside\)/absl::ZeroDuration()/; s/!Budget\.tryTake\(\)/false/' RequestHistory
+exit $missed
--- /dev/null
+++ b/tests/history/request_world.h
@@ -0,0 +1,120 @@
+#ifndef ORIOLETALLY_TESTS_HISTORY_REQUEST_WORLD_H
+#define ORIOLETALLY_TESTS_HISTORY_REQUEST_WORLD_H
+
+#include "core/requests/request_machine.h"
+#include "core/routing/fleet_router.h"
+#include "tests/lab/engine_model.h"
+#include "tests/support/request_fixture.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace orioletally::tests {
+
+/// What one request was told and when; the history that checkers read.
+struct RequestRecord {
+  core::requests::RequestPlan Plan;
+  std::string Prompt;
+  int FinalAnswers = 0;
+  absl::Time EndedAt;
+  bool Completed = false;
+  core::errors::RequestError Error;
+  std::string Text;
+  int Restarts = 0;
+  int Submits = 0;
+};
+
+/// Requests, stand-in engines and a network between them in virtual time.
+/// Every fault and delay comes from the seed.
+class RequestWorld {
+public:
+  RequestWorld(int engines, uint64_t seed);
+
+  /// Schedules \p n requests and random faults, and runs until all is quiet.
+  void run(int requests, bool withFaults);
+
+  const std::vector<std::unique_ptr<RequestRecord>> &records() const {
+    return Records;
+  }
+
+  /// Whether any engine ever began to run the request.
+  bool wasExecuted(const std::string &requestId) const;
+  int executionsOf(const std::string &requestId) const;
+  /// What the request's machine decided, one line a step.
+  std::string traceOf(const std::string &requestId) const;
+  int64_t heldTokens() const;
+
+private:
+  struct Engine {
+    std::unique_ptr<lab::EngineModel> Model;
+    std::vector<lab::Execution> Past;
+    bool Down = false;
+    bool Refusing = false;
+    bool LosingReplies = false;
+    /// Takes connections and works on nothing.
+    bool Frozen = false;
+    /// Grows when open connections go silent, and when the engine dies.
+    int SilenceEpoch = 0;
+    int Life = 0;
+    absl::Time StartedAt = absl::InfinitePast();
+  };
+  struct Connection {
+    int Engine = 0;
+    core::backends::StreamId Stream;
+    uint64_t Offset = 0;
+    int SilenceEpoch = 0;
+    int Life = 0;
+    bool Greeted = false;
+    bool Dropped = false;
+  };
+  struct Request {
+    RequestRecord *Record = nullptr;
+    std::unique_ptr<core::requests::RequestMachine> Machine;
+    std::map<core::requests::ConnectionNumber, std::shared_ptr<Connection>>
+        Connections;
+    absl::Time TimerAt;
+  };
+
+  void after(absl::Duration delay, std::function<void()> what);
+  absl::Duration networkDelay();
+  int chance(int n) {
+    return static_cast<int>(Random() % static_cast<uint64_t>(n));
+  }
+
+  void arrive(int n);
+  void scheduleFaults();
+  void feed(Request &request, const core::requests::RequestEvent &event);
+  void perform(Request &request, const core::requests::RequestActions &actions);
+  void perform(Request &request, const core::requests::OpenSubmit &action);
+  void perform(Request &request, const core::requests::OpenResume &action);
+  void perform(Request &request, const core::requests::DropConnection &action);
+  void perform(Request &request, const core::requests::SendCancel &action);
+  void perform(Request &request, const core::requests::DeliverToken &action);
+  void perform(Request &request, const core::requests::RestartAnswer &action);
+  void perform(Request &request, const core::requests::CompleteAnswer &action);
+  void perform(Request &request, const core::requests::FailAnswer &action);
+  void setTimer(Request &request);
+  void pump(Request &request, core::requests::ConnectionNumber number);
+  void close(Request &request, core::requests::ConnectionNumber number,
+             bool written);
+  void kill(Engine &engine);
+  void revive(Engine &engine);
+  int engineOf(const std::string &address) const;
+
+  std::mt19937_64 Random;
+  absl::Time Now = at(0);
+  std::multimap<absl::Time, std::function<void()>> Events;
+  std::vector<Engine> Engines;
+  core::routing::FleetRouter Router;
+  std::vector<std::unique_ptr<RequestRecord>> Records;
+  std::vector<std::unique_ptr<Request>> Requests;
+};
+
+} // namespace orioletally::tests
+
+#endif
--- /dev/null
+++ b/tests/history/test_request_history.cpp
@@ -0,0 +1,138 @@
+#include "tests/history/request_world.h"
+
+#include <CppUTest/TestHarness.h>
+#include <cstdlib>
+#include <fmt/format.h>
+
+using namespace orioletally;
+using core::errors::RunState;
+using tests::RequestRecord;
+using tests::RequestWorld;
+
+namespace {
+
+constexpr int Seeds = 1000;
+constexpr int RequestsPerSeed = 30;
+constexpr absl::Duration LateBound = absl::Milliseconds(100);
+
+/// The whole answer that the prompt calls for, or its first \p tokens.
+std::string expectedText(const RequestRecord &record, int64_t tokens) {
+  std::string text;
+  const uint64_t hash = lab::hashPrompt(record.Prompt);
+  for (int64_t n = 0; n < tokens; ++n)
+    text += lab::answerToken(hash, static_cast<uint64_t>(n));
+  return text;
+}
+
+/// Returns what the record breaks, or an empty text.
+std::string checkRecord(const RequestRecord &record,
+                        const RequestWorld &world) {
+  const auto &plan = record.Plan;
+  if (record.FinalAnswers != 1)
+    return fmt::format("{} final answers", record.FinalAnswers);
+  if (record.EndedAt > plan.Deadline + LateBound)
+    return "ended after its deadline";
+  const std::string whole = expectedText(record, plan.MaxTokens);
+  if (record.Completed && record.Text != whole)
+    return "completed with an answer that isn't whole or isn't its own";
+  if (!whole.starts_with(record.Text))
+    return "a token that isn't its own was delivered";
+  if (plan.Streaming && record.Restarts > 0)
+    return "a stream was begun again";
+  const int executions = world.executionsOf(plan.RequestId);
+  if (!record.Completed && record.Error.Run == RunState::NotRun &&
+      executions > 0)
+    return "told not_run, but it ran";
+  if (!record.Completed && record.Error.Run == RunState::Ran && executions == 0)
+    return "told ran, but it never ran";
+  if (!plan.Profile.repeatable() && executions > 1)
+    return "an unrepeatable request ran twice";
+  return "";
+}
+
+} // namespace
+
+TEST_GROUP(RequestHistory){};
+
+TEST(RequestHistory, PromisesHoldUnderEveryScheduleOfFaults) {
+  // ORIOLETALLY_SEED replays one seed.
+  const char *only = std::getenv("ORIOLETALLY_SEED");
+  const int first = only == nullptr ? 1 : std::atoi(only);
+  const int last = only == nullptr ? Seeds : first;
+  int completed = 0;
+  int total = 0;
+  for (int seed = first; seed <= last; ++seed) {
+    RequestWorld world(4, static_cast<uint64_t>(seed));
+    world.run(RequestsPerSeed, true);
+    for (const auto &it : world.records()) {
+      ++total;
+      completed += it->Completed ? 1 : 0;
+      const std::string broken = checkRecord(*it, world);
+      if (!broken.empty())
+        FAIL(fmt::format("{}: {}. Replay: ORIOLETALLY_SEED={} "
+                         "build/tests/tests-history -sg RequestHistory{}",
+                         it->Plan.RequestId, broken, seed,
+                         world.traceOf(it->Plan.RequestId))
+                 .c_str());
+    }
+  }
+  if (only == nullptr)
+    LONGS_EQUAL(Seeds * RequestsPerSeed, total);
+  UT_PRINT(
+      fmt::format("{} of {} requests completed", completed, total).c_str());
+}
+
+TEST(RequestHistory, EveryRequestCompletesWithoutFaults) {
+  for (int seed = 1; seed <= 20; ++seed) {
+    RequestWorld world(4, static_cast<uint64_t>(seed));
+    world.run(RequestsPerSeed, false);
+    for (const auto &it : world.records())
+      CHECK(it->Completed ||
+            it->Error.Code == core::errors::ErrorCode::CallerGone);
+    LONGS_EQUAL(0, world.heldTokens());
+  }
+}
+
+TEST(RequestHistory, RefusingBackendsCauseNoRetryStorm) {
+  // Half of the backend servers refuse all the time; the rest must see less
+  // than 1.2 submits a request.
+  core::routing::RouterSettings settings;
+  core::routing::FleetRouter router(settings);
+  std::vector<core::platform::Vm> vms;
+  for (int n = 0; n < 8; ++n)
+    vms.push_back(tests::engineVm(fmt::format("e{}", n)));
+  router.registry().replaceList(vms, tests::at(0));
+  constexpr int Requests = 5000;
+  int submits = 0;
+  for (int n = 0; n < Requests; ++n) {
+    const absl::Time now = tests::at(n * 10);
+    core::requests::RequestMachine machine(
+        tests::planWith(tests::profileWith()), tests::requestChart(), router);
+    auto actions = machine.start(now);
+    while (!machine.isDone() && !actions.empty()) {
+      core::requests::RequestActions next;
+      for (const auto &it : actions) {
+        const auto *submit = std::get_if<core::requests::OpenSubmit>(&it);
+        if (submit == nullptr)
+          continue;
+        ++submits;
+        const bool isRefusing = submit->BackendId < "e4";
+        if (isRefusing) {
+          next = machine.handle(
+              core::requests::SubmitRefused{submit->Connection,
+                                            {"refusing", "", 0, false}},
+              now);
+        } else {
+          core::backends::Frame frame;
+          frame.Kind = core::backends::FrameKind::Final;
+          frame.RequestId = "r-1";
+          frame.Attempt = submit->Attempt;
+          next = machine.handle(
+              core::requests::FrameArrived{submit->Connection, frame}, now);
+        }
+      }
+      actions = next;
+    }
+  }
+  CHECK(submits < 1.2 * Requests);
+}
--- a/tests/lab/engine_server.cpp
+++ b/tests/lab/engine_server.cpp
@@ -80,6 +80,7 @@
 EngineServer::~EngineServer() { stop(); }
 
 boost::leaf::result<void> EngineServer::start() {
+  StartedAt = steadyNow();
   BOOST_LEAF_CHECK(Server.start());
   Worker = std::thread([this] { work(); });
   return {};
@@ -261,7 +262,8 @@
     const std::lock_guard lock(Guard);
     const auto state = Model.cancel(streamIn(request), steadyNow());
     reply(response, StatusOk,
-          {{"state", core::backends::cancelStateName(state)}});
+          {{"state", core::backends::cancelStateName(state)},
+           {"uptime_ms", absl::ToInt64Milliseconds(steadyNow() - StartedAt)}});
   });
   Server.Get("/v1/streams", [this](const auto &, auto &response) {
     int delay = 0;
--- a/tests/lab/engine_server.h
+++ b/tests/lab/engine_server.h
@@ -68,6 +68,7 @@
   /// A submit came that the worker hasn't seen.
   bool Arrived = false;
   std::set<std::string> CutOnce;
+  absl::Time StartedAt;
   std::atomic<uint64_t> SilenceEpoch = 0;
   std::atomic<uint64_t> Submits = 0;
   std::atomic<bool> Stopping = false;
--- a/tests/lab/lab_main.cpp
+++ b/tests/lab/lab_main.cpp
@@ -3,6 +3,7 @@
 #include "tests/lab/load_client.h"
 #include "tests/lab/platform_server.h"
 #include "tests/lab/service_server.h"
+#include "tests/lab/slopes.h"
 
 #include <boost/program_options.hpp>
 #include <csignal>
@@ -68,7 +69,8 @@
 }
 
 po::options_description labOptions() {
-  po::options_description all("orioletally-lab platform|engine|service|load");
+  po::options_description all(
+      "orioletally-lab platform|engine|service|load|slopes");
   auto add = all.add_options();
   add("help", "show this text");
   add("command", po::value<std::string>());
@@ -119,6 +121,10 @@
   const uint64_t seed = options["seed"].as<uint64_t>();
   if (command == "load")
     return runLoadCommand(options);
+  if (command == "slopes") {
+    printSlopes();
+    return 0;
+  }
   if (command == "engine")
     return runEngine(options, signals);
   if (command == "platform") {
