Release lost memory, share load reports, and prove faults with processes

Cause: a killed node left its streams' memory held on engines until nobody knew when; load reports came only with a node's own requests; the promises under kills, freezes and outages had no test with real processes.

Change: each engine is watched by one node of its zone (rendezvous hash), which takes its report, tells the zone, and releases streams that nobody reads and whose owner is lost, or whose deadline passed. A frozen node waits for a peer's marks of leaving backend servers before its view counts as fresh. Fifteen fault tests with the shipped binary.

Found by them: a second SIGTERM was seen only by requests that waited 200 ms for an event, so streams with quick tokens were cut after 5 s without a word (failed before; every caller is told now).

--- a/core/backends/engine_client.h
+++ b/core/backends/engine_client.h
@@ -101,6 +101,17 @@
   /// Time left until the stream's deadline, as the engine counts it.
   absl::Duration TimeLeft;
   bool Finished = false;
+  /// How long nobody has been reading the stream; zero while someone does.
+  absl::Duration DetachedFor;
+};
+
+/// What an engine says of itself when it is asked.
+struct EngineReport {
+  LoadReport Load;
+  bool Draining = false;
+  /// Streams past their deadline, and those that nobody has been reading for
+  /// the time that was asked about.
+  std::vector<StreamHolding> Suspects;
 };
 
 /// The published protocol of a model engine. Implementations must pass
@@ -124,13 +135,11 @@
                                                    const StreamId &stream,
                                                    absl::Duration bound) = 0;
 
-  /// Lists what the engine holds memory for.
-  virtual boost::leaf::result<std::vector<StreamHolding>>
-  holdings(const std::string &address, absl::Duration bound) = 0;
-
-  /// Asks for the engine's own load report; fails when it can't be reached.
-  virtual boost::leaf::result<LoadReport> load(const std::string &address,
-                                               absl::Duration bound) = 0;
+  /// Asks for the load and for the streams that nobody has been reading for
+  /// \p detachedFor or whose deadline has passed.
+  virtual boost::leaf::result<EngineReport> report(const std::string &address,
+                                                   absl::Duration detachedFor,
+                                                   absl::Duration bound) = 0;
 };
 
 } // namespace orioletally::core::backends
--- a/core/membership/peer_message.h
+++ b/core/membership/peer_message.h
@@ -1,6 +1,7 @@
 #ifndef ORIOLETALLY_CORE_MEMBERSHIP_PEER_MESSAGE_H
 #define ORIOLETALLY_CORE_MEMBERSHIP_PEER_MESSAGE_H
 
+#include "core/backends/frame.h"
 #include "core/membership/member.h"
 
 #include <cstdint>
@@ -57,8 +58,20 @@
   std::vector<std::string> Ids;
 };
 
-using PeerBody = std::variant<Ping, Ack, IndirectPing, ProfileRequest,
-                              ProfileRecords, ProfileConfirm, LeavingBackends>;
+/// The load of one engine, as its watcher was told it.
+struct EngineLoad {
+  std::string Id;
+  backends::LoadReport Load;
+};
+
+/// Load reports, passed on inside an availability zone.
+struct EngineLoads {
+  std::vector<EngineLoad> Loads;
+};
+
+using PeerBody =
+    std::variant<Ping, Ack, IndirectPing, ProfileRequest, ProfileRecords,
+                 ProfileConfirm, LeavingBackends, EngineLoads>;
 
 /// One message between two entry nodes.
 struct PeerMessage {
--- a/drivers/backend/engine_codec.cpp
+++ b/drivers/backend/engine_codec.cpp
@@ -8,6 +8,7 @@
 
 using core::backends::CancelAnswer;
 using core::backends::EngineRefusal;
+using core::backends::EngineReport;
 using core::backends::EngineSubmit;
 using core::backends::Frame;
 using core::backends::FrameKind;
@@ -45,6 +46,20 @@
   return frame;
 }
 
+StreamHolding holdingFrom(const json &object) {
+  StreamHolding holding;
+  holding.Stream.RequestId = object.value("request_id", std::string());
+  holding.Stream.Attempt = object.value("attempt", uint32_t{0});
+  holding.Owner = object.value("owner", std::string());
+  holding.Tokens = object.value("tokens", int64_t{0});
+  holding.TimeLeft =
+      absl::Milliseconds(object.value("time_left_ms", int64_t{0}));
+  holding.Finished = object.value("finished", false);
+  holding.DetachedFor =
+      absl::Milliseconds(object.value("detached_ms", int64_t{0}));
+  return holding;
+}
+
 } // namespace
 
 std::optional<Frame> frameFromLine(std::string_view line) {
@@ -104,30 +119,17 @@
   return refusal;
 }
 
-std::optional<std::vector<StreamHolding>>
-holdingsFromJson(std::string_view body) {
-  const json object = parse(body);
-  if (!object.is_object() || !object.contains("streams"))
-    return std::nullopt;
-  std::vector<StreamHolding> result;
-  for (const json &it : object["streams"]) {
-    StreamHolding holding;
-    holding.Stream.RequestId = it.value("request_id", std::string());
-    holding.Stream.Attempt = it.value("attempt", uint32_t{0});
-    holding.Owner = it.value("owner", std::string());
-    holding.Tokens = it.value("tokens", int64_t{0});
-    holding.TimeLeft = absl::Milliseconds(it.value("time_left_ms", int64_t{0}));
-    holding.Finished = it.value("finished", false);
-    result.push_back(std::move(holding));
-  }
-  return result;
-}
-
-std::optional<LoadReport> loadFromJson(std::string_view body) {
+std::optional<EngineReport> reportFromJson(std::string_view body) {
   const json object = parse(body);
-  if (!object.is_object())
+  if (!object.is_object() || !object.contains("load") ||
+      !object.contains("streams"))
     return std::nullopt;
-  return loadFrom(object);
+  EngineReport report;
+  report.Load = loadFrom(object["load"]);
+  report.Draining = object.value("draining", false);
+  for (const json &it : object["streams"])
+    report.Suspects.push_back(holdingFrom(it));
+  return report;
 }
 
 std::optional<CancelAnswer> cancelFromJson(std::string_view body) {
--- a/drivers/backend/engine_codec.h
+++ b/drivers/backend/engine_codec.h
@@ -22,12 +22,9 @@
 std::optional<core::backends::EngineRefusal>
 refusalFromJson(std::string_view body);
 
-/// Reads the list of an engine's holdings; empty when it can't be read.
-std::optional<std::vector<core::backends::StreamHolding>>
-holdingsFromJson(std::string_view body);
-
-/// Reads a load report; empty when it can't be read.
-std::optional<core::backends::LoadReport> loadFromJson(std::string_view body);
+/// Reads what an engine says of itself; empty when it can't be read.
+std::optional<core::backends::EngineReport>
+reportFromJson(std::string_view body);
 
 /// Reads the answer to a cancel; empty when it can't be read.
 std::optional<core::backends::CancelAnswer>
--- a/drivers/backend/http_engine_client.cpp
+++ b/drivers/backend/http_engine_client.cpp
@@ -15,9 +15,8 @@
 using core::backends::BackendError;
 using core::backends::CancelAnswer;
 using core::backends::EngineConnection;
+using core::backends::EngineReport;
 using core::backends::EngineSubmit;
-using core::backends::LoadReport;
-using core::backends::StreamHolding;
 using core::backends::StreamId;
 using core::backends::StreamObserver;
 using http::ExchangeEnd;
@@ -144,16 +143,13 @@
   return readable(cancelFromJson(body));
 }
 
-leaf::result<std::vector<StreamHolding>>
-HttpEngineClient::holdings(const std::string &address, absl::Duration bound) {
-  BOOST_LEAF_AUTO(body, shortCall(get(address, "/v1/streams"), bound));
-  return readable(holdingsFromJson(body));
-}
-
-leaf::result<LoadReport> HttpEngineClient::load(const std::string &address,
-                                                absl::Duration bound) {
-  BOOST_LEAF_AUTO(body, shortCall(get(address, "/v1/load"), bound));
-  return readable(loadFromJson(body));
+leaf::result<EngineReport> HttpEngineClient::report(const std::string &address,
+                                                    absl::Duration detachedFor,
+                                                    absl::Duration bound) {
+  const std::string path = fmt::format("/v1/report?detached_ms={}",
+                                       absl::ToInt64Milliseconds(detachedFor));
+  BOOST_LEAF_AUTO(body, shortCall(get(address, path), bound));
+  return readable(reportFromJson(body));
 }
 
 } // namespace orioletally::drivers::backend
--- a/drivers/backend/http_engine_client.h
+++ b/drivers/backend/http_engine_client.h
@@ -24,11 +24,9 @@
   cancel(const std::string &address, const core::backends::StreamId &stream,
          absl::Duration bound) override;
 
-  boost::leaf::result<std::vector<core::backends::StreamHolding>>
-  holdings(const std::string &address, absl::Duration bound) override;
-
-  boost::leaf::result<core::backends::LoadReport>
-  load(const std::string &address, absl::Duration bound) override;
+  boost::leaf::result<core::backends::EngineReport>
+  report(const std::string &address, absl::Duration detachedFor,
+         absl::Duration bound) override;
 };
 
 } // namespace orioletally::drivers::backend
--- a/drivers/gateway/completion_runner.cpp
+++ b/drivers/gateway/completion_runner.cpp
@@ -137,15 +137,18 @@
 
 void CompletionRunner::advance() {
   const absl::Time now = clock::steadyNow();
-  const absl::Time until = std::min(Machine.nextWake(), now + CallerCheck);
-  if (auto event = Inbox->take(clock::waitPoint(until, now))) {
-    feed(*event);
-    return;
+  // A stream whose tokens come quickly is looked after as often as a silent
+  // one.
+  if (now >= NextCheck) {
+    NextCheck = now + CallerCheck;
+    if (IsCallerGone())
+      return feed(CallerLeft{});
+    if (Context.Gate.isCutOff())
+      return feed(DrainBoundReached{});
   }
-  if (IsCallerGone())
-    feed(CallerLeft{});
-  else if (Context.Gate.isCutOff())
-    feed(DrainBoundReached{});
+  const absl::Time until = std::min(Machine.nextWake(), NextCheck);
+  if (auto event = Inbox->take(clock::waitPoint(until, now)))
+    feed(*event);
   else
     feed(TimerFired{});
 }
--- a/drivers/gateway/completion_runner.h
+++ b/drivers/gateway/completion_runner.h
@@ -100,6 +100,7 @@
   std::string Prompt;
   std::function<bool()> IsCallerGone;
   absl::Time Admitted;
+  absl::Time NextCheck = absl::InfinitePast();
   std::optional<absl::Time> LastToken;
   std::shared_ptr<EventInbox> Inbox;
   core::requests::RequestMachine Machine;
--- a/drivers/gateway/fleet_poller.cpp
+++ b/drivers/gateway/fleet_poller.cpp
@@ -182,12 +182,14 @@
   const uint64_t answers = Profiles.peerAnswers();
   const bool hasPeers = !Peers.members().empty();
   Peers.requestProfiles(Profiles.revision());
-  bool isConfirmed = Profiles.refreshFromTable();
+  const bool isInTable = Profiles.refreshFromTable();
   pollVmList(clock::steadyNow());
-  while (!isConfirmed && hasPeers && clock::steadyNow() < until) {
+  // The peer is waited for even when the table has answered: marks of leaving
+  // backend servers may be known to peers alone.
+  const auto hasAnswer = [&] { return Profiles.peerAnswers() > answers; };
+  while (hasPeers && !hasAnswer() && clock::steadyNow() < until)
     std::this_thread::sleep_for(absl::ToChronoMilliseconds(ReconfirmPause));
-    isConfirmed = Profiles.peerAnswers() > answers;
-  }
+  const bool isConfirmed = isInTable || hasAnswer();
   log::write(log::Level::Info, "view_refreshed",
              {{"confirmed", isConfirmed}, {"revision", Profiles.revision()}});
   // A node that never had peers has nobody else to ask.
--- a/drivers/peer/peer_codec.cpp
+++ b/drivers/peer/peer_codec.cpp
@@ -77,6 +77,25 @@
     out.mutable_leaving_backends()->add_ids(it);
 }
 
+void write(const EngineLoads &body, proto::Envelope &out) {
+  for (const EngineLoad &it : body.Loads) {
+    proto::EngineLoad &load = *out.mutable_engine_loads()->add_loads();
+    load.set_id(it.Id);
+    load.set_queued_prefill_tokens(it.Load.QueuedPrefillTokens);
+    load.set_streams(it.Load.Streams);
+    load.set_free_tokens(it.Load.FreeTokens);
+  }
+}
+
+EngineLoads read(const proto::EngineLoads &in) {
+  EngineLoads body;
+  for (const proto::EngineLoad &it : in.loads())
+    body.Loads.push_back(
+        {it.id(),
+         {it.queued_prefill_tokens(), it.streams(), it.free_tokens()}});
+  return body;
+}
+
 ProfileRecords read(const proto::ProfileRecords &in) {
   ProfileRecords body;
   body.After = in.after();
@@ -105,6 +124,8 @@
   case proto::Envelope::kLeavingBackends:
     return LeavingBackends{{in.leaving_backends().ids().begin(),
                             in.leaving_backends().ids().end()}};
+  case proto::Envelope::kEngineLoads:
+    return read(in.engine_loads());
   case proto::Envelope::BODY_NOT_SET:
     break;
   }
--- a/drivers/peer/peer_service.cpp
+++ b/drivers/peer/peer_service.cpp
@@ -161,6 +161,8 @@
 
 void PeerService::handle(const PeerMessage &message,
                          const ProfileRequest &body) {
+  // The marks go first: whoever waits for the profiles has them then.
+  sendBody(message.From.PeerAddress, LeavingBackends{Handlers.GiveLeaving()});
   sendBody(message.From.PeerAddress, Handlers.GiveProfiles(body.After));
 }
 
@@ -180,6 +182,17 @@
     sendToSome(LeavingBackends{fresh});
 }
 
+void PeerService::handle(const PeerMessage &, const EngineLoads &body) {
+  Handlers.TakeLoads(body);
+}
+
+void PeerService::shareLoads(const EngineLoads &loads) {
+  const std::string zone = self().Zone;
+  for (const MemberView &it : members())
+    if (it.Status == MemberStatus::Alive && it.Self.Zone == zone)
+      sendBody(it.Self.PeerAddress, loads);
+}
+
 void PeerService::spread(const ProfileRecords &records) { sendToSome(records); }
 
 void PeerService::spreadLeaving(const std::vector<std::string> &ids) {
--- a/drivers/peer/peer_service.h
+++ b/drivers/peer/peer_service.h
@@ -22,9 +22,13 @@
   std::function<void(const core::membership::ProfileRecords &)> TakeProfiles;
   /// Returns the profiles newer than a revision.
   std::function<core::membership::ProfileRecords(uint64_t after)> GiveProfiles;
+  /// Returns every backend server known to be leaving.
+  std::function<std::vector<std::string>()> GiveLeaving;
   /// Takes marks of leaving backend servers; returns those that were news.
   std::function<std::vector<std::string>(const std::vector<std::string> &)>
       TakeLeaving;
+  /// Takes load reports that another node of the zone was told.
+  std::function<void(const core::membership::EngineLoads &)> TakeLoads;
   /// The process was frozen for a while.
   std::function<void()> WasFrozen;
 };
@@ -56,11 +60,15 @@
   void spread(const core::membership::ProfileRecords &records);
   void spreadLeaving(const std::vector<std::string> &ids);
 
+  /// Tells the other nodes of this availability zone about engines' load.
+  void shareLoads(const core::membership::EngineLoads &loads);
+
   /// Sends \p records straight to the named nodes.
   void sendTo(const std::vector<std::string> &names,
               const core::membership::ProfileRecords &records);
 
-  /// Asks one random node for profiles newer than \p after.
+  /// Asks one random node for profiles newer than \p after and for its marks
+  /// of leaving backend servers.
   void requestProfiles(uint64_t after);
 
   core::membership::Member self() const;
@@ -84,6 +92,8 @@
               const core::membership::ProfileRecords &body);
   void handle(const core::membership::PeerMessage &message,
               const core::membership::LeavingBackends &body);
+  void handle(const core::membership::PeerMessage &message,
+              const core::membership::EngineLoads &body);
   /// The rest is the failure detector's.
   template <typename Body>
   void handle(const core::membership::PeerMessage &, const Body &) {}
--- a/main/node.cpp
+++ b/main/node.cpp
@@ -2,10 +2,12 @@
 
 #include "charts/embedded_charts.h"
 #include "core/charts/state_chart.h"
+#include "core/holdings/holding_sweep.h"
 #include "drivers/backend/http_engine_client.h"
 #include "drivers/backend/http_service_client.h"
 #include "drivers/clock/clock.h"
 #include "drivers/gateway/caller_api.h"
+#include "drivers/gateway/engine_watch.h"
 #include "drivers/gateway/fleet_poller.h"
 #include "drivers/gateway/http_reply.h"
 #include "drivers/gateway/operator_api.h"
@@ -144,8 +146,8 @@
         std::string peerKey, StateChart chart)
       : Settings(std::move(values)), Tokens(std::move(tokens)),
         RequestChart(std::move(chart)),
-        Owner(
-            absl::StrFormat("%s/%x", Settings.text("node.name"), incarnation)),
+        Owner(core::holdings::ownerText(
+            {Settings.text("node.name"), incarnation})),
         Table(Settings.text("platform.address"),
               milliseconds(Settings, "platform.timeout_ms")),
         VmList(Settings.text("platform.address"),
@@ -159,6 +161,8 @@
         Poller(pollerSettings(Settings), VmList, Table, Sync, Changes, Router,
                Peers, Freshness),
         Background(BackgroundThreads, BackgroundCapacity),
+        Watch(Engines, Router, Peers, Background, Metrics,
+              milliseconds(Settings, "routing.watch_ms")),
         Runner{Engines, Router, RequestChart, Background, Gate, Metrics, Owner},
         Service{Services,
                 Table,
@@ -205,9 +209,20 @@
     handlers.GiveProfiles = [this](uint64_t after) {
       return Sync.recordsAfter(after);
     };
+    handlers.GiveLeaving = [this] {
+      return Router.withRegistry([](core::routing::BackendRegistry &registry) {
+        return registry.leaving();
+      });
+    };
     handlers.TakeLeaving = [this](const std::vector<std::string> &ids) {
       return Router.markLeaving(ids, drivers::clock::steadyNow());
     };
+    handlers.TakeLoads = [this](const core::membership::EngineLoads &loads) {
+      Router.withRegistry([&](core::routing::BackendRegistry &registry) {
+        for (const core::membership::EngineLoad &it : loads.Loads)
+          registry.report(it.Id, it.Load, drivers::clock::steadyNow());
+      });
+    };
     handlers.WasFrozen = [] {};
     return handlers;
   }
@@ -231,6 +246,7 @@
   drivers::gateway::ProfileChanges Changes;
   drivers::gateway::FleetPoller Poller;
   drivers::gateway::BackgroundCalls Background;
+  drivers::gateway::EngineWatch Watch;
   drivers::gateway::RunnerContext Runner;
   drivers::gateway::ServiceContext Service;
   drivers::gateway::CallerContext CallerParts;
@@ -244,6 +260,7 @@
 
 Node::~Node() {
   All->Server.stop();
+  All->Watch.stop();
   All->Poller.stop();
   All->Peers.stop();
 }
@@ -261,6 +278,7 @@
   BOOST_LEAF_CHECK(All->Server.start());
   All->Peers.announceHttpAddress(httpAddress());
   All->Poller.start();
+  All->Watch.start();
   drivers::log::write(drivers::log::Level::Info, "serving",
                       {{"http", httpAddress()},
                        {"peer", All->Peers.address()},
--- a/main/settings.cpp
+++ b/main/settings.cpp
@@ -19,7 +19,7 @@
 using core::fields::FieldType;
 using core::fields::FieldValues;
 
-constexpr std::array<FieldSpec, 31> Specs = {{
+constexpr std::array<FieldSpec, 32> Specs = {{
     {"node.name", FieldType::Text, "", "", 1, 64, "",
      "Name of this VM, unlike that of any other."},
     {"node.zone", FieldType::Text, "", "", 1, 64, "",
@@ -66,6 +66,8 @@
      "Retries earned by a hundred requests that succeed."},
     {"routing.retry_reserve", FieldType::Integer, "", "10", 0, 10000, "",
      "Most retries that can be saved up."},
+    {"routing.watch_ms", FieldType::Integer, "ms", "1000", 50, 60000, "",
+     "Time between two looks at an engine by the node that watches it."},
     {"prompts.bytes_per_token", FieldType::Integer, "bytes", "4", 1, 16, "",
      "Estimate of a prompt's tokens from its length."},
     {"claims.send_ms", FieldType::Integer, "ms", "5000", 50, 60000, "",
--- a/tests/contract/test_contracts.cpp
+++ b/tests/contract/test_contracts.cpp
@@ -239,16 +239,26 @@
   CHECK(eventually([&] { return engine.executions().size() == 1; }));
 }
 
-TEST(EngineContract, ListsWhatItHolds) {
-  const auto connection = submit("r", 10'000);
+TEST(EngineContract, ReportsItsLoadAndTheStreamsThatNobodyReads) {
+  const auto report = [&] {
+    return leaf::try_handle_all(
+        [&] {
+          return client.report(address, absl::Milliseconds(100),
+                               absl::Seconds(1));
+        },
+        [] { return EngineReport(); });
+  };
+  auto connection = submit("r", 10'000);
   CHECK(recorder->saw("token 0"));
-  const auto holdings = leaf::try_handle_all(
-      [&] { return client.holdings(address, absl::Seconds(1)); },
-      [] { return std::vector<StreamHolding>(); });
-  LONGS_EQUAL(1, holdings.size());
-  STRCMP_EQUAL("n/1", holdings[0].Owner.c_str());
-  CHECK(holdings[0].Tokens > 10'000);
-  CHECK(holdings[0].TimeLeft <= absl::Seconds(30));
+  LONGS_EQUAL(0, report().Suspects.size());
+  LONGS_EQUAL(1, report().Load.Streams);
+  connection.reset();
+  CHECK(eventually([&] { return report().Suspects.size() == 1; }));
+  const StreamHolding suspect = report().Suspects[0];
+  STRCMP_EQUAL("n/1", suspect.Owner.c_str());
+  CHECK(suspect.Tokens > 10'000);
+  CHECK(suspect.DetachedFor >= absl::Milliseconds(100));
+  CHECK(suspect.TimeLeft <= absl::Seconds(30));
 }
 
 TEST_GROUP(ServiceContract){};
--- a/tests/lab/engine_model.cpp
+++ b/tests/lab/engine_model.cpp
@@ -62,6 +62,7 @@
   if (static_cast<size_t>(waiting) >= Speeds.MaxQueued)
     return refusal("full", "too many streams wait", FullRetryMs);
   stream.Arrived = now;
+  stream.DetachedSince = now;
   stream.Deadline = now + submit.TimeLeft;
   stream.Submit = std::move(submit);
   Streams.emplace(key, std::move(stream));
@@ -185,6 +186,20 @@
   return done == Done.end() ? nullptr : &done->second;
 }
 
+void EngineModel::attach(const StreamId &stream) {
+  const auto it = Streams.find(keyOf(stream));
+  if (it != Streams.end())
+    ++it->second.Readers;
+}
+
+void EngineModel::detach(const StreamId &stream, absl::Time now) {
+  const auto it = Streams.find(keyOf(stream));
+  if (it == Streams.end())
+    return;
+  --it->second.Readers;
+  it->second.DetachedSince = now;
+}
+
 void EngineModel::delivered(const StreamId &stream) { finish(keyOf(stream)); }
 
 CancelState EngineModel::cancel(const StreamId &stream, absl::Time now) {
@@ -219,8 +234,10 @@
 std::vector<StreamHolding> EngineModel::holdings(absl::Time now) const {
   std::vector<StreamHolding> result;
   for (const auto &[key, it] : Streams)
-    result.push_back({it.Submit.Stream, it.Submit.Owner, it.HeldTokens,
-                      it.Deadline - now, it.isFinished()});
+    result.push_back(
+        {it.Submit.Stream, it.Submit.Owner, it.HeldTokens, it.Deadline - now,
+         it.isFinished(),
+         it.Readers > 0 ? absl::ZeroDuration() : now - it.DetachedSince});
   return result;
 }
 
--- a/tests/lab/engine_model.h
+++ b/tests/lab/engine_model.h
@@ -45,7 +45,9 @@
   int64_t HeldTokens = 0;
   double PrefillLeft = 0;
   bool Started = false;
-  bool Delivered = false;
+  /// Connections that read the stream, and since when there are none.
+  int Readers = 0;
+  absl::Time DetachedSince;
   uint64_t Produced = 0;
   absl::Time Arrived;
   absl::Time Deadline;
@@ -83,6 +85,10 @@
 
   const ModelStream *find(const core::backends::StreamId &stream) const;
 
+  /// A connection began or ceased to read the stream.
+  void attach(const core::backends::StreamId &stream);
+  void detach(const core::backends::StreamId &stream, absl::Time now);
+
   /// The last frame of the stream reached its client.
   void delivered(const core::backends::StreamId &stream);
 
--- a/tests/lab/engine_server.cpp
+++ b/tests/lab/engine_server.cpp
@@ -265,32 +265,42 @@
           {{"state", core::backends::cancelStateName(state)},
            {"uptime_ms", absl::ToInt64Milliseconds(steadyNow() - StartedAt)}});
   });
-  Server.Get("/v1/streams", [this](const auto &, auto &response) {
-    int delay = 0;
-    {
-      const std::lock_guard lock(Guard);
-      delay = Faults.ListDelayMs;
-    }
-    std::this_thread::sleep_for(std::chrono::milliseconds(delay));
-    const std::lock_guard lock(Guard);
-    json rows = json::array();
-    for (const StreamHolding &it : Model.holdings(steadyNow()))
-      rows.push_back({{"request_id", it.Stream.RequestId},
-                      {"attempt", it.Stream.Attempt},
-                      {"owner", it.Owner},
-                      {"tokens", it.Tokens},
-                      {"time_left_ms", absl::ToInt64Milliseconds(it.TimeLeft)},
-                      {"finished", it.Finished}});
-    reply(response, StatusOk, {{"streams", rows}});
+  Server.Get("/v1/report", [this](const auto &request, auto &response) {
+    report(request, response);
   });
-  Server.Get("/v1/load", [this](const auto &, auto &response) {
+}
+
+void EngineServer::report(const httplib::Request &request,
+                          httplib::Response &response) {
+  int delay = 0;
+  {
     const std::lock_guard lock(Guard);
-    const auto load = Model.load();
-    reply(response, StatusOk,
+    delay = Faults.ListDelayMs;
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(delay));
+  const auto detached =
+      absl::Milliseconds(std::stoll(request.get_param_value("detached_ms")));
+  const std::lock_guard lock(Guard);
+  json rows = json::array();
+  for (const StreamHolding &it : Model.holdings(steadyNow())) {
+    if (it.DetachedFor < detached && it.TimeLeft > absl::ZeroDuration())
+      continue;
+    rows.push_back({{"request_id", it.Stream.RequestId},
+                    {"attempt", it.Stream.Attempt},
+                    {"owner", it.Owner},
+                    {"tokens", it.Tokens},
+                    {"time_left_ms", absl::ToInt64Milliseconds(it.TimeLeft)},
+                    {"detached_ms", absl::ToInt64Milliseconds(it.DetachedFor)},
+                    {"finished", it.Finished}});
+  }
+  const core::backends::LoadReport load = Model.load();
+  reply(response, StatusOk,
+        {{"load",
           {{"queued_prefill_tokens", load.QueuedPrefillTokens},
            {"streams", load.Streams},
-           {"free_tokens", load.FreeTokens}});
-  });
+           {"free_tokens", load.FreeTokens}}},
+         {"draining", Faults.Draining},
+         {"streams", rows}});
 }
 
 void EngineServer::registerControl() {
--- a/tests/lab/engine_server.h
+++ b/tests/lab/engine_server.h
@@ -59,6 +59,7 @@
               httplib::Response &response);
   bool writeSome(Feed &feed, httplib::DataSink &sink);
   std::string framesSince(Feed &feed);
+  void report(const httplib::Request &request, httplib::Response &response);
   void work();
 
   std::mutex Guard;
--- /dev/null
+++ b/tests/system/test_faults.cpp
@@ -0,0 +1,413 @@
+#include "tests/support/fleet_fixture.h"
+
+#include <CppUTest/TestHarness.h>
+#include <atomic>
+#include <csignal>
+#include <fmt/format.h>
+#include <thread>
+
+using namespace orioletally;
+using lab::LoadPlan;
+using lab::LoadSample;
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using tests::eventually;
+using tests::FleetFixture;
+using tests::HttpAnswer;
+using tests::httpCall;
+using tests::NodeOptions;
+using tests::NodeProcess;
+
+namespace {
+
+LoadPlan planFor(const NodeProcess &node, int tokens) {
+  LoadPlan plan;
+  plan.Targets = {node.address()};
+  plan.Token = "caller";
+  plan.Profile = "p";
+  plan.MaxTokens = tokens;
+  plan.PromptTokens = 100;
+  return plan;
+}
+
+/// Requests that run on threads of their own while the test goes on.
+class BackgroundLoad {
+public:
+  BackgroundLoad(const LoadPlan &plan, int n)
+      : Samples(static_cast<size_t>(n)) {
+    for (int it = 0; it < n; ++it)
+      Threads.emplace_back([this, plan, it] {
+        Samples[static_cast<size_t>(it)] = lab::runRequest(plan, it);
+      });
+  }
+  ~BackgroundLoad() { wait(); }
+
+  const std::vector<LoadSample> &wait() {
+    for (std::thread &it : Threads)
+      if (it.joinable())
+        it.join();
+    return Samples;
+  }
+
+private:
+  std::vector<LoadSample> Samples;
+  std::vector<std::thread> Threads;
+};
+
+NodeOptions named(const std::string &name, const std::string &zone) {
+  NodeOptions options;
+  options.Name = name;
+  options.Zone = zone;
+  return options;
+}
+
+} // namespace
+
+TEST_GROUP(Faults) {
+  std::unique_ptr<FleetFixture> fleet;
+
+  void teardown() override { fleet.reset(); }
+
+  void start(int engines, int nodes, const json &fields = json::object(),
+             const lab::EngineSpeeds &speeds = {}) {
+    fleet = std::make_unique<FleetFixture>(engines, 1, speeds);
+    for (int n = 0; n < nodes; ++n)
+      fleet->addReadyNode(named("", fmt::format("zone-{}", n % 3)));
+    json complete = {{"stall_ms", 500}, {"deadline_ms", 20000}};
+    complete.update(fields);
+    const int status =
+        FleetFixture::createProfile(node(0), "p", complete).Status;
+    LONGS_EQUAL(201, status);
+  }
+
+  NodeProcess &node(size_t n) { return *fleet->Nodes[n]; }
+
+  int64_t held() {
+    int64_t total = 0;
+    for (auto &it : fleet->Engines)
+      total += it->heldTokens();
+    return total;
+  }
+
+  void setOutage(bool isOut) {
+    lab::PlatformFaults faults;
+    faults.Outage = isOut;
+    fleet->Platform->setFaults(faults);
+  }
+
+  HttpAnswer complete(NodeProcess & through) {
+    return httpCall(
+        through.address(), "POST", "/v1/completions", "caller",
+        json({{"model", "p"}, {"prompt", "x"}, {"max_tokens", 1}}).dump());
+  }
+
+  HttpAnswer apply(NodeProcess & through, const std::string &key) {
+    return httpCall(through.address(), "POST", "/v1/services/sub/apply",
+                    "caller", "b", {{"Idempotency-Key", key}});
+  }
+
+  uint64_t revisionOf(NodeProcess & through, const std::string &requestId) {
+    const json found = httpCall(through.address(), "GET",
+                                "/v1/requests/" + requestId, "operator")
+                           .json();
+    return found.value("profile_revision", uint64_t{0});
+  }
+};
+
+TEST(Faults, SilentConnectionsAreResumedWithoutALostByte) {
+  start(1, 1);
+  BackgroundLoad load(planFor(node(0), 100), 10);
+  CHECK(eventually([&] { return fleet->Engines[0]->submits() == 10; }));
+  std::this_thread::sleep_for(milliseconds(300));
+  fleet->Engines[0]->silenceConnections();
+  for (const LoadSample &it : load.wait()) {
+    CHECK(it.Whole);
+    CHECK(it.Right);
+  }
+  LONGS_EQUAL(10, fleet->Engines[0]->submits());
+}
+
+TEST(Faults, StreamCutWithoutAFinalFrameIsResumed) {
+  start(1, 1);
+  lab::EngineFaults faults;
+  faults.CutAfterTokens = 5;
+  fleet->Engines[0]->setFaults(faults);
+  BackgroundLoad load(planFor(node(0), 30), 10);
+  for (const LoadSample &it : load.wait()) {
+    CHECK(it.Whole);
+    CHECK(it.Right);
+  }
+}
+
+TEST(Faults, EngineKilledMidStreamEndsTheStreamAsRan) {
+  start(1, 1);
+  BackgroundLoad load(planFor(node(0), 400), 3);
+  CHECK(eventually([&] { return fleet->Engines[0]->submits() == 3; }));
+  std::this_thread::sleep_for(milliseconds(300));
+  fleet->Engines[0]->stop();
+  for (const LoadSample &it : load.wait()) {
+    CHECK_FALSE(it.Whole);
+    CHECK(it.Right);
+    STRCMP_EQUAL("ran", it.Run.c_str());
+  }
+}
+
+TEST(Faults, LostAnswerOfASubmitEndsInOneWholeAnswer) {
+  start(2, 1);
+  lab::EngineFaults faults;
+  faults.LoseSubmitReply = true;
+  for (auto &it : fleet->Engines)
+    it->setFaults(faults);
+  BackgroundLoad load(planFor(node(0), 20), 5);
+  for (const LoadSample &it : load.wait())
+    CHECK(it.Whole && it.Right);
+  LONGS_EQUAL(5, fleet->Engines[0]->executions().size() +
+                     fleet->Engines[1]->executions().size());
+}
+
+TEST(Faults, LeavingBackendGetsNothingAfterThreeSeconds) {
+  start(2, 3);
+  NodeProcess &frozen = node(2);
+  frozen.signal(SIGSTOP);
+  lab::PlatformFaults outage;
+  outage.Outage = true;
+  outage.VmListOutage = true;
+  fleet->Platform->setFaults(outage);
+  lab::EngineFaults leaving;
+  leaving.Draining = true;
+  fleet->Engines[0]->setFaults(leaving);
+  std::this_thread::sleep_for(seconds(3));
+  const uint64_t before = fleet->Engines[0]->submits();
+  // The list comes back and still calls the engine live.
+  fleet->Platform->setFaults({});
+  frozen.signal(SIGCONT);
+  int answered = 0;
+  for (int n = 0; n < 60; ++n) {
+    answered += complete(node(static_cast<size_t>(n % 3))).Status == 200;
+    std::this_thread::sleep_for(milliseconds(20));
+  }
+  LONGS_EQUAL(before, fleet->Engines[0]->submits());
+  CHECK(answered >= 40);
+}
+
+TEST(Faults, GracefulShutdownCutsOffNothing) {
+  start(2, 2);
+  constexpr int Streams = 200;
+  BackgroundLoad load(planFor(node(0), 150), Streams);
+  CHECK(eventually([&] {
+    return fleet->Engines[0]->submits() + fleet->Engines[1]->submits() ==
+           Streams;
+  }));
+  node(0).signal(SIGTERM);
+  CHECK(eventually([&] {
+    return httpCall(node(0).address(), "GET", "/readyz", "").Status == 503;
+  }));
+  const HttpAnswer refused = complete(node(0));
+  LONGS_EQUAL(503, refused.Status);
+  STRCMP_EQUAL("draining", refused.error("code").c_str());
+  STRCMP_EQUAL("not_run", refused.error("run").c_str());
+  int whole = 0;
+  for (const LoadSample &it : load.wait())
+    whole += it.Whole && it.Right ? 1 : 0;
+  LONGS_EQUAL(Streams, whole);
+  LONGS_EQUAL(0, node(0).waitExit(seconds(10)));
+}
+
+TEST(Faults, SecondSignalEndsTheShutdownWithEveryCallerTold) {
+  start(1, 1);
+  BackgroundLoad load(planFor(node(0), 900), 20);
+  CHECK(eventually([&] { return fleet->Engines[0]->submits() == 20; }));
+  node(0).signal(SIGTERM);
+  std::this_thread::sleep_for(milliseconds(300));
+  node(0).signal(SIGTERM);
+  for (const LoadSample &it : load.wait()) {
+    CHECK_FALSE(it.Whole);
+    STRCMP_EQUAL("draining", it.ErrorCode.c_str());
+    STRCMP_EQUAL("ran", it.Run.c_str());
+  }
+  LONGS_EQUAL(1, node(0).waitExit(seconds(10)));
+  CHECK(eventually([&] { return held() == 0; }, seconds(2)));
+}
+
+TEST(Faults, MemoryOfAKilledNodeIsReleasedAndNoLivingStreamIsCut) {
+  start(2, 3);
+  BackgroundLoad living(planFor(node(1), 400), 5);
+  {
+    LoadPlan doomed = planFor(node(0), 4000);
+    doomed.Seed = 2;
+    BackgroundLoad load(doomed, 5);
+    CHECK(eventually([&] {
+      return fleet->Engines[0]->submits() + fleet->Engines[1]->submits() == 10;
+    }));
+    node(0).signal(SIGKILL);
+  }
+  const auto killed = std::chrono::steady_clock::now();
+  for (const LoadSample &it : living.wait())
+    CHECK(it.Whole && it.Right);
+  CHECK(eventually([&] { return held() == 0; }, seconds(20)));
+  // Ten seconds from the loss of the owner.
+  CHECK(std::chrono::steady_clock::now() - killed < seconds(10) + seconds(8));
+}
+
+TEST(Faults, FrozenOwnerKeepsItsStreams) {
+  start(1, 3);
+  BackgroundLoad load(planFor(node(0), 300), 3);
+  CHECK(eventually([&] { return fleet->Engines[0]->submits() == 3; }));
+  node(0).signal(SIGSTOP);
+  std::this_thread::sleep_for(seconds(4));
+  node(0).signal(SIGCONT);
+  for (const LoadSample &it : load.wait())
+    CHECK(it.Whole && it.Right);
+}
+
+TEST(Faults, TwoOperatorsAtOnceEndInOneWinnerAndOneWhoIsTold) {
+  start(1, 3);
+  for (int round = 0; round < 10; ++round) {
+    const std::string tag =
+        httpCall(node(0).address(), "GET", "/v1/profiles/p", "operator")
+            .EntityTag;
+    HttpAnswer answers[2];
+    std::thread threads[2];
+    for (size_t n = 0; n < 2; ++n)
+      threads[n] = std::thread([&, n] {
+        answers[n] = httpCall(
+            node(n).address(), "PUT", "/v1/profiles/p", "operator",
+            json({{"priority", round % 5 + static_cast<int>(n)}}).dump(),
+            {{"If-Match", tag}});
+      });
+    for (std::thread &it : threads)
+      it.join();
+    const size_t winner = answers[0].Status == 200 ? 0 : 1;
+    LONGS_EQUAL(200, answers[winner].Status);
+    LONGS_EQUAL(412, answers[1 - winner].Status);
+    const json told = answers[1 - winner].json();
+    STRCMP_EQUAL("op", told["against"]["operator"].get<std::string>().c_str());
+  }
+}
+
+TEST(Faults, ChangeIsCommittedNotAcceptedWhileANodeIsFrozen) {
+  start(1, 3);
+  node(2).signal(SIGSTOP);
+  const HttpAnswer changed =
+      httpCall(node(0).address(), "PUT", "/v1/profiles/p", "operator",
+               R"({"priority":3})", {{"If-Match", "\"1\""}});
+  LONGS_EQUAL(202, changed.Status);
+  STRCMP_EQUAL("entry-3",
+               changed.json()["waiting_for"][0].get<std::string>().c_str());
+  node(2).signal(SIGCONT);
+  CHECK(eventually([&] {
+    return httpCall(node(0).address(), "GET", "/v1/revisions/2", "operator")
+               .json()["state"] == "accepted";
+  }));
+  const HttpAnswer answer = complete(node(2));
+  LONGS_EQUAL(200, answer.Status);
+  LONGS_EQUAL(2, revisionOf(node(2), answer.RequestId));
+}
+
+TEST(Faults, NodeThatStartsInAnOutageTakesTheRevisionFromItsPeers) {
+  start(1, 2);
+  for (int n = 1; n <= 3; ++n)
+    httpCall(node(0).address(), "PUT", "/v1/profiles/p", "operator",
+             json({{"priority", n}}).dump(),
+             {{"If-Match", fmt::format("\"{}\"", n)}});
+  lab::PlatformFaults faults;
+  faults.Outage = true;
+  fleet->Platform->setFaults(faults);
+  NodeProcess &late = fleet->addNode();
+  // The VM list is cut as well, so it can't be ready, and says so.
+  CHECK_FALSE(late.waitReady(seconds(2)));
+  LONGS_EQUAL(503, complete(late).Status);
+  STRCMP_EQUAL("not_run", complete(late).error("run").c_str());
+  CHECK(eventually([&] {
+    return httpCall(late.address(), "GET", "/readyz", "")
+               .json()["profile_revision"] == 4;
+  }));
+}
+
+TEST(Faults, OutageOfTheTableStopsNoCompletionAndEveryClaim) {
+  start(1, 2);
+  FleetFixture::createProfile(
+      node(0), "sub",
+      {{"kind", "service"}, {"service", "records"}, {"repeatable", false}});
+  setOutage(true);
+  LONGS_EQUAL(200, complete(node(0)).Status);
+  const HttpAnswer refused = apply(node(0), "k1");
+  LONGS_EQUAL(503, refused.Status);
+  STRCMP_EQUAL("not_run", refused.error("run").c_str());
+  CHECK(!refused.RetryAfter.empty());
+  CHECK(fleet->Services[0]->executions().empty());
+  setOutage(false);
+  LONGS_EQUAL(200, apply(node(0), "k1").Status);
+}
+
+TEST(Faults, RepeatsThroughSeveralNodesAtOnceRunOnce) {
+  start(1, 3);
+  FleetFixture::createProfile(
+      node(0), "sub",
+      {{"kind", "service"}, {"service", "records"}, {"repeatable", false}});
+  lab::PlatformFaults faults;
+  faults.LoseReplyPercent = 20;
+  fleet->Platform->setFaults(faults);
+  lab::ServiceFaults lossy;
+  lossy.LoseReplyPercent = 20;
+  fleet->Services[0]->setFaults(lossy);
+  std::vector<std::thread> threads;
+  for (int key = 0; key < 20; ++key)
+    for (size_t n = 0; n < 3; ++n)
+      threads.emplace_back(
+          [&, key, n] { apply(node(n), fmt::format("k{}", key)); });
+  for (std::thread &it : threads)
+    it.join();
+  for (const auto &[key, n] : fleet->Services[0]->executions())
+    LONGS_EQUAL_TEXT(1, n, key.c_str());
+}
+
+TEST(Faults, NoNodeAnswersUnderARevisionOlderThanAnAcceptedOne) {
+  start(1, 3);
+  std::atomic<uint64_t> accepted = 1;
+  std::atomic<bool> isOver = false;
+  std::atomic<int> reads = 0;
+  std::atomic<int> reverted = 0;
+  std::vector<std::thread> readers;
+  for (size_t n = 0; n < 3; ++n)
+    readers.emplace_back([&, n] {
+      while (!isOver) {
+        const uint64_t least = accepted;
+        const HttpAnswer answer = complete(node(n));
+        if (answer.Status != 200)
+          continue;
+        ++reads;
+        if (revisionOf(node(n), answer.RequestId) < least)
+          ++reverted;
+      }
+    });
+  uint64_t revision = 1;
+  for (int round = 0; round < 12; ++round) {
+    if (round % 4 == 1)
+      node(2).signal(SIGSTOP);
+    lab::PlatformFaults faults;
+    faults.LoseReplyPercent = round % 3 == 2 ? 50 : 0;
+    fleet->Platform->setFaults(faults);
+    const HttpAnswer changed = httpCall(
+        node(static_cast<size_t>(round % 2)).address(), "PUT", "/v1/profiles/p",
+        "operator", json({{"priority", round % 9}}).dump(),
+        {{"If-Match", fmt::format("\"{}\"", revision)}});
+    if (changed.Status == 200 || changed.Status == 202)
+      revision = changed.json()["profile"]["revision"].get<uint64_t>();
+    if (changed.Status == 200)
+      accepted = revision;
+    if (round % 4 == 1)
+      node(2).signal(SIGCONT);
+    // An outage right after the commit, shorter than a test can wait out.
+    setOutage(round % 4 == 3);
+    std::this_thread::sleep_for(milliseconds(300));
+    setOutage(false);
+  }
+  isOver = true;
+  for (std::thread &it : readers)
+    it.join();
+  CHECK(reads > 100);
+  CHECK(revision > 8);
+  LONGS_EQUAL(0, reverted.load());
+}
