--- a/drivers/peer/peer_codec.cpp
+++ b/drivers/peer/peer_codec.cpp
@@ -73,13 +73,16 @@
 }
 
 void write(const LeavingBackends &body, proto::Envelope &out) {
+  // Named even when it is empty, or the message would have no body.
+  proto::LeavingBackends &to = *out.mutable_leaving_backends();
   for (const std::string &it : body.Ids)
-    out.mutable_leaving_backends()->add_ids(it);
+    to.add_ids(it);
 }
 
 void write(const EngineLoads &body, proto::Envelope &out) {
+  proto::EngineLoads &to = *out.mutable_engine_loads();
   for (const EngineLoad &it : body.Loads) {
-    proto::EngineLoad &load = *out.mutable_engine_loads()->add_loads();
+    proto::EngineLoad &load = *to.add_loads();
     load.set_id(it.Id);
     load.set_queued_prefill_tokens(it.Load.QueuedPrefillTokens);
     load.set_streams(it.Load.Streams);
--- a/drivers/peer/peer_transport.cpp
+++ b/drivers/peer/peer_transport.cpp
@@ -27,6 +27,7 @@
 constexpr int HeartbeatMs = 1000;
 constexpr int HeartbeatTimeoutMs = 3000;
 constexpr auto PollBound = std::chrono::milliseconds(1000);
+constexpr auto LinkPollBound = std::chrono::milliseconds(1);
 constexpr absl::Duration IdleBound = absl::Seconds(60);
 constexpr const char *AuthenticatorEndpoint = "inproc://zeromq.zap.01";
 /// Frames of a ZAP request, RFC 27, up to the CURVE credentials.
@@ -87,11 +88,18 @@
 }
 
 void PeerTransport::send(const std::string &address, std::string bytes) {
+  absl::Time dueAt = absl::InfinitePast();
+  if (Settings.Link) {
+    const std::optional<absl::Duration> delay = Settings.Link();
+    if (!delay.has_value())
+      return;
+    dueAt = clock::steadyNow() + *delay;
+  }
   {
     const std::lock_guard lock(Guard);
     if (Queue.size() >= MaxQueued)
       return;
-    Queue.push_back({address, std::move(bytes)});
+    Queue.push_back({address, std::move(bytes), dueAt});
   }
   const uint64_t one = 1;
   [[maybe_unused]] const ssize_t n = ::write(WakeFd, &one, sizeof(one));
@@ -104,7 +112,7 @@
     if (Authenticator)
       items.push_back({Authenticator.handle(), 0, ZMQ_POLLIN, 0});
     try {
-      zmq::poll(items, PollBound);
+      zmq::poll(items, pollBound());
       uint64_t ignored = 0;
       [[maybe_unused]] const ssize_t n =
           ::read(WakeFd, &ignored, sizeof(ignored));
@@ -124,6 +132,10 @@
     Authenticator.close();
 }
 
+std::chrono::milliseconds PeerTransport::pollBound() const {
+  return Travelling.empty() ? PollBound : LinkPollBound;
+}
+
 void PeerTransport::receiveAll() {
   zmq::message_t message;
   while (Inbound.recv(message, zmq::recv_flags::dontwait)) {
@@ -138,7 +150,15 @@
     const std::lock_guard lock(Guard);
     letters.swap(Queue);
   }
-  for (const Letter &it : letters) {
+  std::vector<Letter> due;
+  const absl::Time now = clock::steadyNow();
+  for (Letter &it : letters)
+    (it.DueAt <= now ? due : Travelling).push_back(std::move(it));
+  for (Letter &it : Travelling)
+    if (it.DueAt <= now)
+      due.push_back(std::move(it));
+  std::erase_if(Travelling, [&](const Letter &it) { return it.DueAt <= now; });
+  for (const Letter &it : due) {
     const auto n = outbound(it.Address)
                        .send(zmq::buffer(it.Bytes), zmq::send_flags::dontwait);
     if (n.has_value())
--- a/drivers/peer/peer_transport.h
+++ b/drivers/peer/peer_transport.h
@@ -5,12 +5,15 @@
 #include <absl/time/time.h>
 #include <atomic>
 #include <boost/leaf.hpp>
+#include <chrono>
 #include <deque>
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
+#include <vector>
 #include <zmq.hpp>
 
 namespace orioletally::drivers::peer {
@@ -28,6 +31,9 @@
   /// Secret key that all nodes share, 40 characters of Z85; empty turns
   /// encryption and the refusal of strangers off.
   std::string SecretKey;
+  /// Decides for each message how long the link to the other node takes, or
+  /// drops it; for measurements of slow links. Unset sends at once.
+  std::function<std::optional<absl::Duration>()> Link;
 };
 
 /// How many bytes went to and came from other nodes.
@@ -69,11 +75,13 @@
   struct Letter {
     std::string Address;
     std::string Bytes;
+    absl::Time DueAt;
   };
 
   void run();
   void receiveAll();
   void sendQueued();
+  std::chrono::milliseconds pollBound() const;
   void answerAuthentication();
   void closeIdle();
   zmq::socket_t &outbound(const std::string &address);
@@ -91,6 +99,8 @@
 
   std::mutex Guard;
   std::deque<Letter> Queue;
+  /// Letters on a slow link, owned by the thread.
+  std::vector<Letter> Travelling;
   int WakeFd = -1;
   std::atomic<bool> Stopping = false;
   std::thread Worker;
--- a/tests/lab/lab_main.cpp
+++ b/tests/lab/lab_main.cpp
@@ -4,6 +4,7 @@
 #include "tests/lab/platform_server.h"
 #include "tests/lab/service_server.h"
 #include "tests/lab/slopes.h"
+#include "tests/lab/spread.h"
 
 #include <boost/program_options.hpp>
 #include <csignal>
@@ -70,7 +71,7 @@
 
 po::options_description labOptions() {
   po::options_description all(
-      "orioletally-lab platform|engine|service|load|slopes");
+      "orioletally-lab platform|engine|service|load|slopes|spread");
   auto add = all.add_options();
   add("help", "show this text");
   add("command", po::value<std::string>());
@@ -80,6 +81,8 @@
   add("prefill-rate", po::value<int64_t>()->default_value(50'000));
   add("token-ms", po::value<int64_t>()->default_value(20));
   add("max-queued", po::value<size_t>()->default_value(64));
+  add("nodes", po::value<std::vector<int>>()->multitoken()->default_value(
+                   {3, 8, 64}, "3 8 64"));
   add("target", po::value<std::vector<std::string>>()->composing());
   add("direct", "targets are engines, not entry nodes");
   add("token", po::value<std::string>()->default_value(""));
@@ -125,6 +128,11 @@
     printSlopes();
     return 0;
   }
+  if (command == "spread") {
+    printSpread(options["nodes"].as<std::vector<int>>(),
+                options["requests"].as<int>());
+    return 0;
+  }
   if (command == "engine")
     return runEngine(options, signals);
   if (command == "platform") {
