--- a/core/profiles/profile_change.cpp
+++ b/core/profiles/profile_change.cpp
@@ -35,7 +35,7 @@
           {"operator", Origin.Operator}, {"source", Origin.Source},
           {"node", Origin.Node},         {"at", Origin.At},
           {"change_id", ChangeId},       {"differences", rows},
-          {"profile", After.toJson()}};
+          {"findings", Findings},        {"profile", After.toJson()}};
 }
 
 leaf::result<AuditRecord> AuditRecord::fromJson(const json &from) {
@@ -50,6 +50,7 @@
   record.Origin.Node = from.value("node", std::string());
   record.Origin.At = from.value("at", std::string());
   record.ChangeId = from.value("change_id", std::string());
+  record.Findings = from.value("findings", std::vector<std::string>());
   for (const json &it : from.value("differences", json::array()))
     record.Differences.push_back(
         {it.value("field", std::string()), it["before"], it["after"]});
--- a/core/profiles/profile_change.h
+++ b/core/profiles/profile_change.h
@@ -41,6 +41,8 @@
   /// The same id makes a retry after a lost answer safe.
   std::string ChangeId;
   ChangeOrigin Origin;
+  /// What the checks of the setup found; told and kept, not refused.
+  std::vector<std::string> Findings;
 };
 
 /// One field that a change altered; `Before` is null for a new profile.
@@ -57,6 +59,7 @@
   ChangeOrigin Origin;
   std::string ChangeId;
   std::vector<FieldDifference> Differences;
+  std::vector<std::string> Findings;
   /// The profile as this change put it in force.
   Profile After;
 
--- a/core/profiles/profile_store.cpp
+++ b/core/profiles/profile_store.cpp
@@ -171,6 +171,7 @@
   record.Kind = change.Kind;
   record.Origin = change.Origin;
   record.ChangeId = change.ChangeId;
+  record.Findings = change.Findings;
   record.After.Name = change.Name;
   record.After.Revision = revision;
   record.After.Retired = change.Kind == ChangeKind::Retire;
--- a/drivers/gateway/caller_tokens.cpp
+++ b/drivers/gateway/caller_tokens.cpp
@@ -51,6 +51,14 @@
   return result;
 }
 
+std::vector<std::string> CallerTokens::workspaces() const {
+  std::vector<std::string> result;
+  for (const auto &[hash, principal] : ByHash)
+    if (!principal.IsOperator)
+      result.push_back(principal.Name);
+  return result;
+}
+
 std::optional<Principal>
 CallerTokens::find(const std::string &authorization) const {
   if (!authorization.starts_with(Scheme))
--- a/drivers/gateway/caller_tokens.h
+++ b/drivers/gateway/caller_tokens.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace orioletally::drivers::gateway {
 
@@ -28,6 +29,9 @@
   /// `[[operator]]` tables (`name`, `token`).
   static boost::leaf::result<CallerTokens> parse(std::string_view text);
 
+  /// Every workspace that has a token.
+  std::vector<std::string> workspaces() const;
+
   /// Returns who the value of an Authorization header stands for.
   std::optional<Principal> find(const std::string &authorization) const;
 
--- a/drivers/gateway/operator_api.cpp
+++ b/drivers/gateway/operator_api.cpp
@@ -1,12 +1,14 @@
 #include "drivers/gateway/operator_api.h"
 
 #include "core/profiles/profile.h"
+#include "core/profiles/setup_check.h"
 #include "drivers/clock/clock.h"
 #include "drivers/gateway/http_reply.h"
 #include "drivers/log/log.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_format.h>
+#include <array>
 #include <fmt/format.h>
 #include <random>
 #include <utility>
@@ -32,6 +34,8 @@
 using core::routing::BackendState;
 using nlohmann::json;
 
+constexpr std::array BackendRoles = {core::platform::VmRole::Engine,
+                                     core::platform::VmRole::Service};
 constexpr int StatusOk = 200;
 constexpr int StatusCreated = 201;
 constexpr int StatusAccepted = 202;
@@ -138,12 +142,21 @@
   return result;
 }
 
+std::vector<core::platform::Vm> listedVms(SharedRouter &router) {
+  return router.withRegistry([](BackendRegistry &registry) {
+    std::vector<core::platform::Vm> vms;
+    for (const auto role : BackendRoles)
+      for (const BackendState *it : registry.listed(role))
+        vms.push_back(it->Vm);
+    return vms;
+  });
+}
+
 json backendsJson(SharedRouter &router) {
   const absl::Time now = clock::steadyNow();
   return router.withRegistry([&](BackendRegistry &registry) {
     json result = json::array();
-    for (const auto role :
-         {core::platform::VmRole::Engine, core::platform::VmRole::Service})
+    for (const auto role : BackendRoles)
       for (const BackendState *it : registry.listed(role))
         result.push_back(backendJson(*it, now));
     return result;
@@ -304,6 +317,10 @@
   wanted.Origin = {operatorName, request.remote_addr, Context.Peers.self().Name,
                    absl::FormatTime(absl::RFC3339_sec, clock::wallNow(),
                                     absl::UTCTimeZone())};
+  if (wanted.Kind != ChangeKind::Retire)
+    wanted.Findings = core::profiles::findSetupFaults(
+        wanted.Values,
+        {listedVms(Context.Router), Context.Tokens.workspaces()});
   const ChangeReply reply = Context.Changes.apply(wanted, Context.AcceptWait);
   response.set_header("X-Change-Id", wanted.ChangeId);
   if (const auto *refusal = std::get_if<ChangeRefused>(&reply)) {
@@ -336,6 +353,7 @@
              {"change_id", wanted.ChangeId},
              {"repeated", done.Repeated},
              {"waiting_for", done.WaitingFor},
+             {"findings", wanted.Findings},
              {"profile", done.After.toJson()}});
 }
 
--- a/main/operator_commands.cpp
+++ b/main/operator_commands.cpp
@@ -113,6 +113,8 @@
         it["kind"].get<std::string>(), it["profile"]["name"].get<std::string>(),
         it["operator"].get<std::string>(), it["source"].get<std::string>(),
         it["node"].get<std::string>(), it["change_id"].get<std::string>());
+    for (const json &row : it.value("findings", json::array()))
+      fmt::print("         found: {}\n", textOf(row));
     for (const json &row : it["differences"])
       fmt::print("         {}: {} -> {}\n", textOf(row["field"]),
                  textOf(row["before"]), textOf(row["after"]));
@@ -193,6 +195,8 @@
                       const OperatorAnswer &answer) {
   if (!answer.isGood())
     return printRefusal(answer);
+  for (const json &it : answer.Body.value("findings", json::array()))
+    fmt::print(stderr, "finding: {}\n", textOf(it));
   const auto revision = answer.Body["profile"]["revision"].get<uint64_t>();
   if (options.Json)
     fmt::print("{}\n", answer.Body.dump(2));
--- a/tests/core/test_fields.cpp
+++ b/tests/core/test_fields.cpp
@@ -1,5 +1,7 @@
 #include "core/profiles/profile.h"
+#include "core/profiles/setup_check.h"
 #include "main/settings.h"
+#include "tests/support/request_fixture.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -85,3 +87,32 @@
   CHECK(shortForm == longForm);
   LONGLONGS_EQUAL(shortForm.hash(), longForm.hash());
 }
+
+TEST(Fields, SetupThatTheFleetCanNotServeIsFound) {
+  core::profiles::SetupSurroundings around;
+  around.Vms = {tests::engineVm("e", 100'000, 10'000)};
+  around.Workspaces = {"w"};
+  struct Case {
+    nlohmann::json Fields;
+    const char *Finding;
+  };
+  const Case cases[] = {
+      {{{"max_prompt_tokens", 50'000}}, ""},
+      {{{"model", "none"}}, "model: no engine has none"},
+      {{{"max_prompt_tokens", 200'000}, {"deadline_ms", 60'000}},
+       "max_prompt_tokens: 200000 and an answer are more than the 100000 "
+       "tokens that the largest engine holds"},
+      {{{"max_prompt_tokens", 50'000}, {"deadline_ms", 4'000}},
+       "deadline_ms: the fastest engine needs 5000 ms for the longest prompt, "
+       "the deadline is 4000 ms"},
+      {{{"kind", "service"}, {"service", "s"}},
+       "service: no backend server runs s"},
+      {{{"max_prompt_tokens", 50'000}, {"workspaces", {"w", "x"}}},
+       "workspaces: no token belongs to x"},
+  };
+  for (const Case &it : cases) {
+    const auto findings = core::profiles::findSetupFaults(
+        tests::profileWith(it.Fields).Values, around);
+    STRCMP_EQUAL(it.Finding, findings.empty() ? "" : findings[0].c_str());
+  }
+}
