Tell a slow platform from a freeze, and fit reports into the budget

Cause: the loop that polls the platform also kept the view fresh.

Change: a pulse of its own notices freezes and keeps the view fresh. A woken node asks three peers and refreshes at once. Load reports go out once a round in one message; with more than eight peers only submits of 32,000 tokens or more are told.

What the thinned reports are worth at full size was not measured.

--- a/drivers/gateway/engine_watch.cpp
+++ b/drivers/gateway/engine_watch.cpp
@@ -16,6 +16,7 @@
 using core::backends::EngineReport;
 using core::backends::StreamId;
 using core::membership::EngineLoad;
+using core::membership::EngineLoads;
 using core::membership::Member;
 using core::membership::MemberStatus;
 using core::membership::MemberView;
@@ -74,6 +75,7 @@
   std::unique_lock lock(Guard);
   while (!Stopping) {
     lock.unlock();
+    shareLoads();
     for (const Target &it : ownTargets())
       Background.submit([this, it] { visit(it); });
     lock.lock();
@@ -82,6 +84,16 @@
   }
 }
 
+void EngineWatch::shareLoads() {
+  EngineLoads loads;
+  {
+    const std::lock_guard lock(Guard);
+    std::swap(loads, Fresh);
+  }
+  if (!loads.Loads.empty())
+    Peers.shareLoads(loads);
+}
+
 std::vector<EngineWatch::Target> EngineWatch::ownTargets() {
   const Member self = Peers.self();
   const std::vector<MemberView> members = Peers.members();
@@ -119,7 +131,10 @@
   });
   if (report.Draining)
     Peers.spreadLeaving(Router.markLeaving({target.Id}, now));
-  Peers.shareLoads({{EngineLoad{target.Id, report.Load}}});
+  {
+    const std::lock_guard lock(Guard);
+    Fresh.Loads.push_back(EngineLoad{target.Id, report.Load});
+  }
   const std::vector<StreamId> lost = core::holdings::releasable(
       report.Suspects, Peers.self(), Peers.members());
   for (const StreamId &it : lost) {
--- a/drivers/gateway/engine_watch.h
+++ b/drivers/gateway/engine_watch.h
@@ -42,6 +42,8 @@
   std::vector<Target> ownTargets();
   void visit(const Target &target);
   void take(const Target &target, const core::backends::EngineReport &report);
+  /// Passes on what was reported since the last round, in one message a node.
+  void shareLoads();
 
   core::backends::EngineClient &Engines;
   SharedRouter &Router;
@@ -52,6 +54,7 @@
 
   std::mutex Guard;
   std::condition_variable Changed;
+  core::membership::EngineLoads Fresh;
   bool Stopping = false;
   std::thread Worker;
 };
--- a/drivers/gateway/fleet_poller.cpp
+++ b/drivers/gateway/fleet_poller.cpp
@@ -49,6 +49,8 @@
 FleetPoller::~FleetPoller() { stop(); }
 
 void FleetPoller::start() {
+  Freshness.touch(clock::steadyNow());
+  Pulse = std::thread([this] { beat(); });
   Worker = std::thread([this] { run(); });
 }
 
@@ -61,31 +63,37 @@
   }
   Changed.notify_all();
   Worker.join();
+  Pulse.join();
 }
 
-void FleetPoller::run() {
+void FleetPoller::beat() {
   absl::Time last = clock::steadyNow();
   std::unique_lock lock(Guard);
   while (!Stopping) {
-    lock.unlock();
     const absl::Time now = clock::steadyNow();
-    IsStale = IsStale || now - last > FreezeGap;
-    if (IsStale)
-      IsStale = !refreshAfterFreeze();
-    touch();
-    round(now);
-    // Only the pause counts: a slow platform is no freeze of this process.
-    last = clock::steadyNow();
-    touch();
-    lock.lock();
+    if (now - last > FreezeGap) {
+      IsStale = true;
+      Changed.notify_all();
+    }
+    last = now;
+    if (!IsStale)
+      Freshness.touch(now);
     Changed.wait_for(lock, absl::ToChronoMilliseconds(RoundPause),
                      [this] { return Stopping; });
   }
 }
 
-void FleetPoller::touch() {
-  if (!IsStale)
-    Freshness.touch(clock::steadyNow());
+void FleetPoller::run() {
+  std::unique_lock lock(Guard);
+  while (!Stopping) {
+    lock.unlock();
+    if (IsStale)
+      IsStale = !refreshAfterFreeze();
+    round(clock::steadyNow());
+    lock.lock();
+    Changed.wait_for(lock, absl::ToChronoMilliseconds(RoundPause),
+                     [this] { return Stopping || IsStale; });
+  }
 }
 
 void FleetPoller::round(absl::Time now) {
--- a/drivers/gateway/fleet_poller.h
+++ b/drivers/gateway/fleet_poller.h
@@ -50,6 +50,9 @@
   bool hasVmList() const { return HasVmList; }
 
 private:
+  /// Notices freezes and keeps the view fresh. It calls nobody, so that a slow
+  /// platform doesn't pass for a freeze.
+  void beat();
   void run();
   void round(absl::Time now);
   bool pollVmList(absl::Time now);
@@ -57,7 +60,6 @@
   void pollRegistrations(absl::Time now);
   /// Returns whether the table or a peer confirmed what this node knows.
   bool refreshAfterFreeze();
-  void touch();
   void spreadNewLeaving();
   /// The next time after \p pause, spread so that nodes don't poll together,
   /// and longer after failures.
@@ -78,7 +80,7 @@
   absl::Time NextRegistration = absl::InfinitePast();
   absl::Time TableDownSince = absl::InfiniteFuture();
   /// The process was frozen and its view isn't confirmed yet.
-  bool IsStale = false;
+  std::atomic<bool> IsStale = false;
   int VmListFailures = 0;
   int ProfileFailures = 0;
   int RegistrationFailures = 0;
@@ -88,6 +90,7 @@
   std::mutex Guard;
   std::condition_variable Changed;
   bool Stopping = false;
+  std::thread Pulse;
   std::thread Worker;
 };
 
--- a/drivers/peer/peer_service.cpp
+++ b/drivers/peer/peer_service.cpp
@@ -18,6 +18,10 @@
 constexpr size_t SpreadFanout = 3;
 /// Nodes of a region up to which all of them are told of engines' load.
 constexpr size_t DetailFanout = 16;
+/// Nodes up to which each is told of every submit; beyond, of those with at
+/// least this many tokens to prefill.
+constexpr size_t UnthinnedFanout = 8;
+constexpr int64_t ThinnedPromptTokens = 32'000;
 constexpr int TicksPerPeriod = 5;
 
 } // namespace
@@ -220,7 +224,13 @@
   message.From.Name = self().Name;
   message.Body = dispatch;
   const std::string bytes = encode(message);
-  for (const std::string &it : detailPeers())
+  const std::vector<std::string> peers = detailPeers();
+  // With many nodes a message for every short prompt would exceed what a node
+  // may send; the long ones are what others have to know.
+  const bool isSmall = dispatch.PrefillTokens < ThinnedPromptTokens;
+  if (isSmall && peers.size() > UnthinnedFanout)
+    return;
+  for (const std::string &it : peers)
     Transport.send(it, bytes);
 }
 
@@ -240,13 +250,7 @@
 }
 
 void PeerService::requestProfiles(uint64_t after) {
-  std::vector<Member> chosen;
-  {
-    const std::lock_guard lock(Guard);
-    chosen = Detector.randomAlive(1);
-  }
-  if (!chosen.empty())
-    sendBody(chosen.front().PeerAddress, ProfileRequest{after});
+  sendToSome(ProfileRequest{after});
 }
 
 Member PeerService::self() const {
--- a/drivers/peer/peer_service.h
+++ b/drivers/peer/peer_service.h
@@ -73,7 +73,7 @@
   void sendTo(const std::vector<std::string> &names,
               const core::membership::ProfileRecords &records);
 
-  /// Asks one random node for profiles newer than \p after and for its marks
+  /// Asks a few random nodes for profiles newer than \p after and for its marks
   /// of leaving backend servers.
   void requestProfiles(uint64_t after);
 
--- a/tests/support/node_process.h
+++ b/tests/support/node_process.h
@@ -17,6 +17,7 @@
   int64_t DrainMs = 60'000;
   int64_t MaxStreams = 1000;
   int64_t RequestMs = 10'000;
+  int64_t PlatformTimeoutMs = 500;
   /// Further TOML text.
   std::string Extra;
 };
