Make the loops one class and the service runner's steps functions

Change: LoopThread, errors::refusal, and the steps of a service call as functions. Behaviour stays; tests are untouched, but for one pattern of the mutations that names a moved line.

--- a/core/errors/request_error.cpp
+++ b/core/errors/request_error.cpp
@@ -59,6 +59,12 @@
 
 int httpStatus(ErrorCode code) { return row(code).Status; }
 
+RequestError refusal(ErrorCode code, std::string message, std::string rule) {
+  return RequestErrorBuilder(code, std::move(message))
+      .rule(std::move(rule))
+      .build();
+}
+
 RequestErrorBuilder::RequestErrorBuilder(ErrorCode code, std::string message) {
   Error.Code = code;
   Error.Message = std::move(message);
--- a/core/errors/request_error.h
+++ b/core/errors/request_error.h
@@ -54,6 +54,9 @@
   int64_t RetryAfterMs = 0;
 };
 
+/// A refusal before anything ran, with what decided it.
+RequestError refusal(ErrorCode code, std::string message, std::string rule);
+
 /// Builds a RequestError step by step; the code and message are required.
 class RequestErrorBuilder {
 public:
--- a/drivers/gateway/caller_api.cpp
+++ b/drivers/gateway/caller_api.cpp
@@ -17,6 +17,7 @@
 
 using core::backends::ServiceAnswer;
 using core::errors::ErrorCode;
+using core::errors::refusal;
 using core::errors::RequestError;
 using core::errors::RequestErrorBuilder;
 using core::profiles::Profile;
@@ -29,12 +30,6 @@
 constexpr size_t MaxKeyLength = 256;
 constexpr int StatusOk = 200;
 
-RequestError refuse(ErrorCode code, std::string message, std::string rule) {
-  return RequestErrorBuilder(code, std::move(message))
-      .rule(std::move(rule))
-      .build();
-}
-
 std::function<bool()> goneCheck() {
   http::SocketStream *connection = http::currentConnection();
   return [connection] {
@@ -126,11 +121,11 @@
   auto principal =
       Context.Tokens.find(request.get_header_value("Authorization"));
   if (!principal.has_value())
-    return refuse(ErrorCode::Unauthorized, "unknown bearer token",
-                  "setting auth.tokens_file");
+    return refusal(ErrorCode::Unauthorized, "unknown bearer token",
+                   "setting auth.tokens_file");
   if (principal->IsOperator)
-    return refuse(ErrorCode::Forbidden, "an operator's token has no workspace",
-                  "setting auth.tokens_file");
+    return refusal(ErrorCode::Forbidden, "an operator's token has no workspace",
+                   "setting auth.tokens_file");
   if (!Context.IsReady())
     return RequestErrorBuilder(ErrorCode::Overloaded,
                                "the entry node isn't ready")
@@ -147,16 +142,16 @@
   const Profile *profile =
       kind == ProfileKind::Service ? set->findService(name) : set->find(name);
   if (profile == nullptr)
-    return refuse(ErrorCode::NotFound, "no such profile: " + name,
-                  fmt::format("profiles at revision {}", set->revision()));
+    return refusal(ErrorCode::NotFound, "no such profile: " + name,
+                   fmt::format("profiles at revision {}", set->revision()));
   if (profile->kind() != kind)
-    return refuse(ErrorCode::BadRequest,
-                  "the profile is of the other kind: " + name,
-                  profile->rule("kind"));
+    return refusal(ErrorCode::BadRequest,
+                   "the profile is of the other kind: " + name,
+                   profile->rule("kind"));
   if (!profile->allowsWorkspace(workspace))
-    return refuse(ErrorCode::Forbidden,
-                  "the profile is closed to this workspace",
-                  profile->rule("workspaces"));
+    return refusal(ErrorCode::Forbidden,
+                   "the profile is closed to this workspace",
+                   profile->rule("workspaces"));
   return *profile;
 }
 
@@ -177,15 +172,15 @@
   plan.Streaming = call.Stream;
   plan.Deadline = clock::steadyNow() + plan.Profile.deadline();
   if (plan.PromptTokens > plan.Profile.maxPromptTokens())
-    return refuse(
+    return refusal(
         ErrorCode::PayloadTooLarge,
         fmt::format("the prompt has about {} tokens", plan.PromptTokens),
         plan.Profile.rule("max_prompt_tokens"));
   if (plan.MaxTokens > plan.Profile.maxOutputTokens())
-    return refuse(ErrorCode::BadRequest,
-                  fmt::format("max_tokens: expected at most {}",
-                              plan.Profile.maxOutputTokens()),
-                  plan.Profile.rule("max_output_tokens"));
+    return refusal(ErrorCode::BadRequest,
+                   fmt::format("max_tokens: expected at most {}",
+                               plan.Profile.maxOutputTokens()),
+                   plan.Profile.rule("max_output_tokens"));
   return plan;
 }
 
@@ -251,14 +246,14 @@
   plan.Deadline = clock::steadyNow() + plan.Profile.deadline();
   if (plan.Call.IdempotencyKey.size() > MaxKeyLength)
     return fail(response, requestId, workspace,
-                refuse(ErrorCode::BadRequest,
-                       "Idempotency-Key: expected at most 256 characters",
-                       "docs/API.md"));
+                refusal(ErrorCode::BadRequest,
+                        "Idempotency-Key: expected at most 256 characters",
+                        "docs/API.md"));
   const auto bodyBytes = static_cast<int64_t>(plan.Call.Body.size());
   if (bodyBytes > plan.Profile.Values.integer("max_body_bytes"))
     return fail(response, requestId, workspace,
-                refuse(ErrorCode::PayloadTooLarge, "the body is too large",
-                       plan.Profile.rule("max_body_bytes")));
+                refusal(ErrorCode::PayloadTooLarge, "the body is too large",
+                        plan.Profile.rule("max_body_bytes")));
 
   ServiceRunner runner(Context.Service, plan);
   const ServiceResult result = runner.run();
@@ -282,8 +277,8 @@
       Context.Tokens.find(request.get_header_value("Authorization"));
   if (!principal.has_value())
     return replyError(response,
-                      refuse(ErrorCode::Unauthorized, "unknown bearer token",
-                             "setting auth.tokens_file"));
+                      refusal(ErrorCode::Unauthorized, "unknown bearer token",
+                              "setting auth.tokens_file"));
   const ProfileView::Snapshot set = Context.Profiles.current();
   json data = json::array();
   for (const Profile *it : set->all())
--- a/drivers/gateway/engine_watch.cpp
+++ b/drivers/gateway/engine_watch.cpp
@@ -57,31 +57,15 @@
 EngineWatch::~EngineWatch() { stop(); }
 
 void EngineWatch::start() {
-  Worker = std::thread([this] { run(); });
+  Loop.start(Period, [this] { round(); });
 }
 
-void EngineWatch::stop() {
-  if (!Worker.joinable())
-    return;
-  {
-    const std::lock_guard lock(Guard);
-    Stopping = true;
-  }
-  Changed.notify_all();
-  Worker.join();
-}
+void EngineWatch::stop() { Loop.stop(); }
 
-void EngineWatch::run() {
-  std::unique_lock lock(Guard);
-  while (!Stopping) {
-    lock.unlock();
-    shareLoads();
-    for (const Target &it : ownTargets())
-      Background.submit([this, it] { visit(it); });
-    lock.lock();
-    Changed.wait_for(lock, absl::ToChronoMilliseconds(Period),
-                     [this] { return Stopping; });
-  }
+void EngineWatch::round() {
+  shareLoads();
+  for (const Target &it : ownTargets())
+    Background.submit([this, it] { visit(it); });
 }
 
 void EngineWatch::shareLoads() {
--- a/drivers/gateway/engine_watch.h
+++ b/drivers/gateway/engine_watch.h
@@ -4,14 +4,13 @@
 #include "core/backends/engine_client.h"
 #include "core/membership/member.h"
 #include "drivers/gateway/background_calls.h"
+#include "drivers/gateway/loop_thread.h"
 #include "drivers/gateway/shared_router.h"
 #include "drivers/metrics/node_metrics.h"
 #include "drivers/peer/peer_service.h"
 
-#include <condition_variable>
 #include <mutex>
 #include <string>
-#include <thread>
 #include <vector>
 
 namespace orioletally::drivers::gateway {
@@ -38,7 +37,7 @@
     std::string Address;
   };
 
-  void run();
+  void round();
   std::vector<Target> ownTargets();
   void visit(const Target &target);
   void take(const Target &target, const core::backends::EngineReport &report);
@@ -53,10 +52,8 @@
   absl::Duration Period;
 
   std::mutex Guard;
-  std::condition_variable Changed;
   core::membership::EngineLoads Fresh;
-  bool Stopping = false;
-  std::thread Worker;
+  LoopThread Loop;
 };
 
 } // namespace orioletally::drivers::gateway
--- a/drivers/gateway/fleet_poller.cpp
+++ b/drivers/gateway/fleet_poller.cpp
@@ -49,51 +49,30 @@
 FleetPoller::~FleetPoller() { stop(); }
 
 void FleetPoller::start() {
-  Freshness.touch(clock::steadyNow());
-  Pulse = std::thread([this] { beat(); });
-  Worker = std::thread([this] { run(); });
+  LastBeat = clock::steadyNow();
+  Freshness.touch(LastBeat);
+  Pulse.start(RoundPause, [this] { beat(clock::steadyNow()); });
+  Polls.start(RoundPause, [this] {
+    if (IsStale)
+      IsStale = !refreshAfterFreeze();
+    round(clock::steadyNow());
+  });
 }
 
 void FleetPoller::stop() {
-  if (!Worker.joinable())
-    return;
-  {
-    const std::lock_guard lock(Guard);
-    Stopping = true;
-  }
-  Changed.notify_all();
-  Worker.join();
-  Pulse.join();
-}
-
-void FleetPoller::beat() {
-  absl::Time last = clock::steadyNow();
-  std::unique_lock lock(Guard);
-  while (!Stopping) {
-    const absl::Time now = clock::steadyNow();
-    if (now - last > FreezeGap) {
-      IsStale = true;
-      Changed.notify_all();
-    }
-    last = now;
-    if (!IsStale)
-      Freshness.touch(now);
-    Changed.wait_for(lock, absl::ToChronoMilliseconds(RoundPause),
-                     [this] { return Stopping; });
-  }
+  Polls.stop();
+  Pulse.stop();
 }
 
-void FleetPoller::run() {
-  std::unique_lock lock(Guard);
-  while (!Stopping) {
-    lock.unlock();
-    if (IsStale)
-      IsStale = !refreshAfterFreeze();
-    round(clock::steadyNow());
-    lock.lock();
-    Changed.wait_for(lock, absl::ToChronoMilliseconds(RoundPause),
-                     [this] { return Stopping || IsStale; });
+void FleetPoller::beat(absl::Time now) {
+  const bool wasFrozen = now - LastBeat > FreezeGap;
+  LastBeat = now;
+  if (wasFrozen) {
+    IsStale = true;
+    Polls.wake();
   }
+  if (!IsStale)
+    Freshness.touch(now);
 }
 
 void FleetPoller::round(absl::Time now) {
--- a/drivers/gateway/fleet_poller.h
+++ b/drivers/gateway/fleet_poller.h
@@ -3,6 +3,7 @@
 
 #include "core/platform/table_service.h"
 #include "core/platform/vm_list.h"
+#include "drivers/gateway/loop_thread.h"
 #include "drivers/gateway/profile_changes.h"
 #include "drivers/gateway/profile_sync.h"
 #include "drivers/gateway/shared_router.h"
@@ -10,11 +11,8 @@
 #include "drivers/peer/peer_service.h"
 
 #include <atomic>
-#include <condition_variable>
-#include <mutex>
 #include <random>
 #include <string>
-#include <thread>
 #include <vector>
 
 namespace orioletally::drivers::gateway {
@@ -52,8 +50,7 @@
 private:
   /// Notices freezes and keeps the view fresh. It calls nobody, so that a slow
   /// platform doesn't pass for a freeze.
-  void beat();
-  void run();
+  void beat(absl::Time now);
   void round(absl::Time now);
   bool pollVmList(absl::Time now);
   bool pollProfiles(absl::Time now);
@@ -87,11 +84,9 @@
   std::vector<std::string> KnownLeaving;
   std::atomic<bool> HasVmList = false;
 
-  std::mutex Guard;
-  std::condition_variable Changed;
-  bool Stopping = false;
-  std::thread Pulse;
-  std::thread Worker;
+  absl::Time LastBeat;
+  LoopThread Pulse;
+  LoopThread Polls;
 };
 
 } // namespace orioletally::drivers::gateway
--- a/drivers/gateway/node_gate.cpp
+++ b/drivers/gateway/node_gate.cpp
@@ -13,7 +13,7 @@
 
 constexpr int64_t RetryAfterMs = 1000;
 
-RequestError refusal(ErrorCode code, std::string message, std::string rule) {
+RequestError notNow(ErrorCode code, std::string message, std::string rule) {
   return RequestErrorBuilder(code, std::move(message))
       .rule(std::move(rule))
       .retryAfterMs(RetryAfterMs)
@@ -32,20 +32,20 @@
 GateResult NodeGate::tryEnter(const std::string &workspace) {
   const std::lock_guard lock(Guard);
   if (Draining)
-    return refusal(ErrorCode::Draining, "the entry node is shutting down",
-                   "node.drain");
+    return notNow(ErrorCode::Draining, "the entry node is shutting down",
+                  "node.drain");
   switch (Limiter.tryEnter(workspace)) {
   case StreamVerdict::Admitted:
     return std::make_shared<GateTicket>(*this, workspace);
   case StreamVerdict::NodeFull:
-    return refusal(ErrorCode::Overloaded, "the entry node is full",
-                   "setting http.max_streams");
+    return notNow(ErrorCode::Overloaded, "the entry node is full",
+                  "setting http.max_streams");
   case StreamVerdict::WorkspaceFull:
-    return refusal(ErrorCode::RateLimited,
-                   "the workspace holds its share of a busy entry node",
-                   "setting http.max_streams shared by workspaces");
+    return notNow(ErrorCode::RateLimited,
+                  "the workspace holds its share of a busy entry node",
+                  "setting http.max_streams shared by workspaces");
   }
-  return refusal(ErrorCode::Internal, "no verdict", "node gate");
+  return notNow(ErrorCode::Internal, "no verdict", "node gate");
 }
 
 void NodeGate::beginDrain() {
--- a/drivers/gateway/operator_api.cpp
+++ b/drivers/gateway/operator_api.cpp
@@ -20,6 +20,7 @@
 namespace {
 
 using core::errors::ErrorCode;
+using core::errors::refusal;
 using core::errors::RequestError;
 using core::errors::RequestErrorBuilder;
 using core::fields::FieldError;
@@ -44,12 +45,6 @@
 constexpr int MaxAuditRows = 1000;
 constexpr size_t MaxChangeIdLength = 128;
 
-RequestError refuse(ErrorCode code, std::string message, std::string rule) {
-  return RequestErrorBuilder(code, std::move(message))
-      .rule(std::move(rule))
-      .build();
-}
-
 using Handler = std::function<void(const httplib::Request &,
                                    httplib::Response &, const std::string &)>;
 
@@ -62,12 +57,12 @@
         tokens.find(request.get_header_value("Authorization"));
     if (!principal.has_value())
       return replyError(response,
-                        refuse(ErrorCode::Unauthorized, "unknown bearer token",
-                               "setting auth.tokens_file"));
+                        refusal(ErrorCode::Unauthorized, "unknown bearer token",
+                                "setting auth.tokens_file"));
     if (!principal->IsOperator)
-      return replyError(response, refuse(ErrorCode::Forbidden,
-                                         "only operators may do this",
-                                         "setting auth.tokens_file"));
+      return replyError(response, refusal(ErrorCode::Forbidden,
+                                          "only operators may do this",
+                                          "setting auth.tokens_file"));
     handler(request, response, principal->Name);
   };
 }
@@ -98,14 +93,14 @@
         return Result(std::move(values));
       },
       [](const FieldError &ec) {
-        return Result(refuse(ErrorCode::BadRequest,
-                             ec.Key.empty()
-                                 ? ec.Reason
-                                 : fmt::format("{}: {}", ec.Key, ec.Reason),
-                             "profile fields, docs/CONFIGURATION.md"));
+        return Result(refusal(ErrorCode::BadRequest,
+                              ec.Key.empty()
+                                  ? ec.Reason
+                                  : fmt::format("{}: {}", ec.Key, ec.Reason),
+                              "profile fields, docs/CONFIGURATION.md"));
       },
       [] {
-        return Result(refuse(ErrorCode::Internal, "unexpected failure", ""));
+        return Result(refusal(ErrorCode::Internal, "unexpected failure", ""));
       });
 }
 
@@ -247,8 +242,8 @@
   if (profile == nullptr)
     return replyError(
         response,
-        refuse(ErrorCode::NotFound, "no such profile: " + name,
-               fmt::format("profiles at revision {}", set->revision())));
+        refusal(ErrorCode::NotFound, "no such profile: " + name,
+                fmt::format("profiles at revision {}", set->revision())));
   response.set_header("ETag", profile->entityTag());
   replyJson(response, StatusOk, profile->toJson());
 }
@@ -260,18 +255,18 @@
   wanted.Name = request.matches[1];
   if (!core::profiles::isValidProfileName(wanted.Name))
     return replyError(response,
-                      refuse(ErrorCode::BadRequest,
-                             "profile name: expected 1 to 64 of a-z, 0-9, - "
-                             "and _, beginning with a letter",
-                             "profile names"));
+                      refusal(ErrorCode::BadRequest,
+                              "profile name: expected 1 to 64 of a-z, 0-9, - "
+                              "and _, beginning with a letter",
+                              "profile names"));
   const bool isCreate = request.get_header_value("If-None-Match") == "*";
   const std::string tag = request.get_header_value("If-Match");
   if (!isCreate && tag.empty())
     return replyError(response,
-                      refuse(ErrorCode::PreconditionRequired,
-                             "expected If-None-Match: * to create or If-Match "
-                             "with the ETag to change",
-                             "a change names the revision it was made from"));
+                      refusal(ErrorCode::PreconditionRequired,
+                              "expected If-None-Match: * to create or If-Match "
+                              "with the ETag to change",
+                              "a change names the revision it was made from"));
   wanted.Kind = isCreate ? ChangeKind::Create : ChangeKind::Change;
   auto fields = readFields(request.body);
   if (const auto *error = std::get_if<RequestError>(&fields))
@@ -288,9 +283,9 @@
   wanted.Kind = ChangeKind::Retire;
   if (request.get_header_value("If-Match").empty())
     return replyError(response,
-                      refuse(ErrorCode::PreconditionRequired,
-                             "expected If-Match with the ETag",
-                             "a change names the revision it was made from"));
+                      refusal(ErrorCode::PreconditionRequired,
+                              "expected If-Match with the ETag",
+                              "a change names the revision it was made from"));
   change(std::move(wanted), request, response, operatorName);
 }
 
@@ -301,9 +296,9 @@
     const auto revision = revisionFromTag(request.get_header_value("If-Match"));
     if (!revision.has_value())
       return replyError(response,
-                        refuse(ErrorCode::BadRequest,
-                               "If-Match: expected the ETag of the profile",
-                               "docs/API.md"));
+                        refusal(ErrorCode::BadRequest,
+                                "If-Match: expected the ETag of the profile",
+                                "docs/API.md"));
     wanted.ExpectedRevision = *revision;
   }
   wanted.ChangeId = request.get_header_value("X-Change-Id");
@@ -311,9 +306,9 @@
     wanted.ChangeId = newChangeId();
   if (wanted.ChangeId.size() > MaxChangeIdLength)
     return replyError(response,
-                      refuse(ErrorCode::BadRequest,
-                             "X-Change-Id: expected at most 128 characters",
-                             "docs/API.md"));
+                      refusal(ErrorCode::BadRequest,
+                              "X-Change-Id: expected at most 128 characters",
+                              "docs/API.md"));
   wanted.Origin = {operatorName, request.remote_addr, Context.Peers.self().Name,
                    absl::FormatTime(absl::RFC3339_sec, clock::wallNow(),
                                     absl::UTCTimeZone())};
@@ -369,9 +364,9 @@
        absl::SimpleAtoi(request.get_param_value("limit"), &limit));
   if (!isReadable || limit < 1 || limit > MaxAuditRows)
     return replyError(response,
-                      refuse(ErrorCode::BadRequest,
-                             "expected after=REVISION and limit=1 to 1000",
-                             "docs/API.md"));
+                      refusal(ErrorCode::BadRequest,
+                              "expected after=REVISION and limit=1 to 1000",
+                              "docs/API.md"));
   leaf::try_handle_all(
       [&]() -> leaf::result<void> {
         json rows = json::array();
@@ -392,12 +387,13 @@
         return {};
       },
       [&](const TableError &ec) {
-        replyError(response, refuse(ErrorCode::PlatformUnavailable, ec.Detail,
-                                    "the audit trail is in the table service"));
+        replyError(response,
+                   refusal(ErrorCode::PlatformUnavailable, ec.Detail,
+                           "the audit trail is in the table service"));
       },
       [&] {
-        replyError(response, refuse(ErrorCode::Internal,
-                                    "the audit trail can't be read", ""));
+        replyError(response, refusal(ErrorCode::Internal,
+                                     "the audit trail can't be read", ""));
       });
 }
 
@@ -407,9 +403,9 @@
   const uint64_t own = Context.Profiles.current()->revision();
   if (!absl::SimpleAtoi(revision, &n) || n > own)
     return replyError(response,
-                      refuse(ErrorCode::NotFound,
-                             fmt::format("this node is at revision {}", own),
-                             "profiles"));
+                      refusal(ErrorCode::NotFound,
+                              fmt::format("this node is at revision {}", own),
+                              "profiles"));
   const std::vector<std::string> waiting = Context.Changes.waitingFor(n);
   replyJson(response, StatusOk,
             {{"revision", n},
@@ -439,9 +435,9 @@
   if (!found.has_value())
     return replyError(
         response,
-        refuse(ErrorCode::NotFound,
-               "this node doesn't remember the request; its id names the node",
-               "each node remembers its own last requests"));
+        refusal(ErrorCode::NotFound,
+                "this node doesn't remember the request; its id names the node",
+                "each node remembers its own last requests"));
   replyJson(response, StatusOk, *found);
 }
 
--- a/drivers/gateway/service_runner.cpp
+++ b/drivers/gateway/service_runner.cpp
@@ -17,7 +17,6 @@
 using core::claims::ClaimAnswer;
 using core::claims::ClaimAnswered;
 using core::claims::ClaimGranted;
-using core::claims::ClaimKeyReused;
 using core::claims::ClaimPending;
 using core::claims::ClaimResult;
 using core::errors::ErrorCode;
@@ -55,14 +54,32 @@
       digestOf(Plan.Call)};
   Token = fmt::format("{}/{}", Context.Owner, Plan.Call.RequestId);
   ClaimAsked = Context.Now();
-  const auto outcome = leaf::try_handle_all(
-      [&]() -> leaf::result<std::variant<ClaimResult, RequestError>> {
+  const auto outcome = askForClaim();
+  if (const auto *error = std::get_if<RequestError>(&outcome))
+    return *error;
+  const auto &result = std::get<ClaimResult>(outcome);
+  const auto *granted = std::get_if<ClaimGranted>(&result);
+  if (granted == nullptr)
+    return seenBefore(result);
+  note("claim granted");
+  ServiceResult sent = sendUntilSettled();
+  if (const auto *answer = std::get_if<ServiceAnswer>(&sent))
+    keepAnswer(*granted, *answer);
+  else if (std::get<RequestError>(sent).Run == RunState::NotRun)
+    releaseClaim(*granted);
+  return sent;
+}
+
+std::variant<ClaimResult, RequestError> ServiceRunner::askForClaim() {
+  using Outcome = std::variant<ClaimResult, RequestError>;
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<Outcome> {
         BOOST_LEAF_AUTO(result, Ledger.claim(Claim, Context.Owner, Token));
-        return std::variant<ClaimResult, RequestError>(result);
+        return Outcome(result);
       },
       [&](const TableError &ec) {
         note(fmt::format("claim failed: {}", ec.Detail));
-        return std::variant<ClaimResult, RequestError>(
+        return Outcome(
             RequestErrorBuilder(ErrorCode::PlatformUnavailable,
                                 "the claim of this call can't be written")
                 .rule("unrepeatable calls need the table service")
@@ -70,13 +87,12 @@
                 .build());
       },
       [] {
-        return std::variant<ClaimResult, RequestError>(
-            RequestErrorBuilder(ErrorCode::Internal, "the claim failed")
-                .build());
+        return Outcome(
+            core::errors::refusal(ErrorCode::Internal, "the claim failed", ""));
       });
-  if (const auto *error = std::get_if<RequestError>(&outcome))
-    return *error;
-  const auto &result = std::get<ClaimResult>(outcome);
+}
+
+ServiceResult ServiceRunner::seenBefore(const ClaimResult &result) {
   if (const auto *seen = std::get_if<ClaimAnswered>(&result)) {
     note("answered before; the first answer is given again");
     ServiceAnswer answer;
@@ -85,28 +101,20 @@
     answer.Body = seen->Answer.Body;
     return answer;
   }
-  if (const auto *pending = std::get_if<ClaimPending>(&result))
-    return RequestErrorBuilder(ErrorCode::Conflict,
-                               fmt::format("the call was claimed before by {} "
-                                           "and its outcome isn't known",
-                                           pending->Owner))
-        .run(RunState::Unknown)
-        .rule("idempotency key")
-        .retryAfterMs(DefaultRetryAfterMs)
-        .build();
-  if (std::holds_alternative<ClaimKeyReused>(result))
-    return RequestErrorBuilder(ErrorCode::Conflict,
-                               "the key was used before for another call")
-        .rule("idempotency key")
-        .build();
-  const auto &granted = std::get<ClaimGranted>(result);
-  note("claim granted");
-  ServiceResult sent = sendUntilSettled();
-  if (const auto *answer = std::get_if<ServiceAnswer>(&sent))
-    keepAnswer(granted, *answer);
-  else if (std::get<RequestError>(sent).Run == RunState::NotRun)
-    releaseClaim(granted);
-  return sent;
+  const auto *pending = std::get_if<ClaimPending>(&result);
+  if (pending == nullptr)
+    return core::errors::refusal(ErrorCode::Conflict,
+                                 "the key was used before for another call",
+                                 "idempotency key");
+  return RequestErrorBuilder(
+             ErrorCode::Conflict,
+             fmt::format("the call was claimed before by {} and its outcome "
+                         "isn't known",
+                         pending->Owner))
+      .run(RunState::Unknown)
+      .rule("idempotency key")
+      .retryAfterMs(DefaultRetryAfterMs)
+      .build();
 }
 
 std::variant<RouteChoice, RequestError> ServiceRunner::choose() {
@@ -153,64 +161,82 @@
     ++Attempts;
     note(fmt::format("attempt {} to {}: {}", Attempts, choice.BackendId,
                      choice.Reason));
-    // The last look at the clock before the call leaves this node.
-    const absl::Time now = Context.Now();
-    const bool isClaimed = ClaimAsked != absl::InfiniteFuture();
-    const bool isTooOld =
-        isClaimed && !core::claims::maySend(ClaimAsked, Context.ClaimBound,
-                                            Plan.Deadline, now);
-    if (isTooOld || now >= Plan.Deadline) {
-      Context.Router.released(choice.BackendId, RouteQuery{}, false, now);
-      return tooLate();
-    }
-    BackendError failure;
-    const auto answer = leaf::try_handle_all(
-        [&]() -> leaf::result<std::optional<ServiceAnswer>> {
-          BOOST_LEAF_AUTO(
-              it, Context.Services.call(choice.Address, Plan.Call,
-                                        std::min(Plan.Profile.connectBound(),
-                                                 Plan.Deadline - now),
-                                        Plan.Deadline - now));
-          return std::optional<ServiceAnswer>(std::move(it));
-        },
-        [&](const BackendError &ec) {
-          failure = ec;
-          return std::optional<ServiceAnswer>();
-        },
-        [] { return std::optional<ServiceAnswer>(); });
-    const absl::Time after = Context.Now();
-    Context.Router.released(choice.BackendId, RouteQuery{}, answer.has_value(),
-                            after);
-    RunState tried = RunState::NotRun;
-    if (answer.has_value() && !answer->RefusedBeforeStart) {
-      note(fmt::format("answered with status {}", answer->Status));
-      return *answer;
-    }
-    if (answer.has_value()) {
-      Context.Router.refused(choice.BackendId, answer->RetryAfterMs,
-                             answer->Draining, after);
-      note(fmt::format("{} refused before it began", choice.BackendId));
-    } else {
-      Context.Router.failed(choice.BackendId, after);
-      tried = failure.Written ? RunState::Unknown : RunState::NotRun;
-      note(fmt::format("{} failed: {}", choice.BackendId, failure.Message));
-    }
-    if (tried == RunState::Unknown)
+    const SendOutcome outcome = sendOnce(choice);
+    if (outcome.Answer.has_value())
+      return *outcome.Answer;
+    if (outcome.Run == RunState::Unknown)
       Run = RunState::Unknown;
     Exclude.push_back(choice.BackendId);
-    if (after >= Plan.Deadline)
+    if (outcome.IsTooLate || Context.Now() >= Plan.Deadline)
       return tooLate();
-    if (!mayRetry(tried))
-      return RequestErrorBuilder(ErrorCode::BackendFailed,
-                                 "the backend server failed")
-          .run(Run)
-          .rule(Plan.Profile.rule(Plan.Unrepeatable ? "repeatable"
-                                                    : "max_attempts"))
-          .retryAfterMs(DefaultRetryAfterMs)
-          .build();
+    if (!mayRetry(outcome.Run))
+      return failed();
   }
 }
 
+ServiceRunner::SendOutcome ServiceRunner::sendOnce(const RouteChoice &choice) {
+  // The last look at the clock before the call leaves this node.
+  const absl::Time now = Context.Now();
+  const bool isClaimed = ClaimAsked != absl::InfiniteFuture();
+  const bool isTooOld =
+      isClaimed && !core::claims::maySend(ClaimAsked, Context.ClaimBound,
+                                          Plan.Deadline, now);
+  if (isTooOld || now >= Plan.Deadline) {
+    Context.Router.released(choice.BackendId, RouteQuery{}, false, now);
+    return {std::nullopt, RunState::NotRun, true};
+  }
+  const absl::Duration left = Plan.Deadline - now;
+  BackendError failure;
+  const auto answer = leaf::try_handle_all(
+      [&]() -> leaf::result<std::optional<ServiceAnswer>> {
+        BOOST_LEAF_AUTO(it,
+                        Context.Services.call(
+                            choice.Address, Plan.Call,
+                            std::min(Plan.Profile.connectBound(), left), left));
+        return std::optional<ServiceAnswer>(std::move(it));
+      },
+      [&](const BackendError &ec) {
+        failure = ec;
+        return std::optional<ServiceAnswer>();
+      },
+      [] { return std::optional<ServiceAnswer>(); });
+  Context.Router.released(choice.BackendId, RouteQuery{}, answer.has_value(),
+                          Context.Now());
+  if (!answer.has_value())
+    return notAnswered(choice, failure);
+  if (answer->RefusedBeforeStart)
+    return refused(choice, *answer);
+  note(fmt::format("answered with status {}", answer->Status));
+  return {answer, RunState::Ran, false};
+}
+
+ServiceRunner::SendOutcome
+ServiceRunner::notAnswered(const RouteChoice &choice,
+                           const BackendError &failure) {
+  Context.Router.failed(choice.BackendId, Context.Now());
+  note(fmt::format("{} failed: {}", choice.BackendId, failure.Message));
+  const RunState run = failure.Written ? RunState::Unknown : RunState::NotRun;
+  return {std::nullopt, run, false};
+}
+
+ServiceRunner::SendOutcome ServiceRunner::refused(const RouteChoice &choice,
+                                                  const ServiceAnswer &answer) {
+  Context.Router.refused(choice.BackendId, answer.RetryAfterMs, answer.Draining,
+                         Context.Now());
+  note(fmt::format("{} refused before it began", choice.BackendId));
+  return {std::nullopt, RunState::NotRun, false};
+}
+
+RequestError ServiceRunner::failed() const {
+  return RequestErrorBuilder(ErrorCode::BackendFailed,
+                             "the backend server failed")
+      .run(Run)
+      .rule(
+          Plan.Profile.rule(Plan.Unrepeatable ? "repeatable" : "max_attempts"))
+      .retryAfterMs(DefaultRetryAfterMs)
+      .build();
+}
+
 void ServiceRunner::keepAnswer(const ClaimGranted &granted,
                                const ServiceAnswer &answer) {
   const ClaimAnswer kept{answer.Status, answer.ContentType, answer.Body};
--- a/drivers/gateway/service_runner.h
+++ b/drivers/gateway/service_runner.h
@@ -9,6 +9,7 @@
 #include "drivers/gateway/shared_router.h"
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -55,8 +56,25 @@
   const std::vector<std::string> &trace() const { return Trace; }
 
 private:
+  /// What became of one send.
+  struct SendOutcome {
+    std::optional<core::backends::ServiceAnswer> Answer;
+    core::errors::RunState Run = core::errors::RunState::NotRun;
+    /// Nothing was sent, because no time was left or the claim had aged.
+    bool IsTooLate = false;
+  };
+
   ServiceResult runClaimed();
+  std::variant<core::claims::ClaimResult, core::errors::RequestError>
+  askForClaim();
+  ServiceResult seenBefore(const core::claims::ClaimResult &result);
   ServiceResult sendUntilSettled();
+  SendOutcome sendOnce(const core::routing::RouteChoice &choice);
+  SendOutcome notAnswered(const core::routing::RouteChoice &choice,
+                          const core::backends::BackendError &failure);
+  SendOutcome refused(const core::routing::RouteChoice &choice,
+                      const core::backends::ServiceAnswer &answer);
+  core::errors::RequestError failed() const;
   std::variant<core::routing::RouteChoice, core::errors::RequestError> choose();
   core::errors::RequestError refusal(const core::routing::RouteDenied &denied);
   core::errors::RequestError tooLate();
--- a/tests/history/mutations.sh
+++ b/tests/history/mutations.sh
@@ -52,5 +52,5 @@
 mutate "claim released after an unknown outcome" $service 's/\.Run == RunState::NotRun\)/.Run != RunState::Ran)/' ClaimHistory
 mutate "old claim still sent" $service 's/isTooOld \|\|/false \&\& isTooOld ||/' ClaimHistory
 mutate "unknown outcome tried again" $service 's/run == RunState::NotRun \|\| !Plan\.Unrepeatable/true/' ClaimHistory
-mutate "written call called not run" $service 's/failure\.Written \? RunState::Unknown : RunState::NotRun/RunState::NotRun/' ClaimHistory
+mutate "written call called not run" $service 's/failure\.Written \? RunState::Unknown/failure.Written ? RunState::NotRun/' ClaimHistory
 exit $missed
