--- a/drivers/gateway/operator_api.cpp
+++ b/drivers/gateway/operator_api.cpp
@@ -4,6 +4,7 @@
 #include "core/profiles/setup_check.h"
 #include "drivers/clock/clock.h"
 #include "drivers/gateway/http_reply.h"
+#include "drivers/gateway/operator_auth.h"
 #include "drivers/log/log.h"
 
 #include <absl/strings/numbers.h>
@@ -25,7 +26,6 @@
 using core::errors::RequestErrorBuilder;
 using core::fields::FieldError;
 using core::fields::FieldValues;
-using core::membership::MemberView;
 using core::platform::TableError;
 using core::profiles::AuditRecord;
 using core::profiles::ChangeKind;
@@ -40,33 +40,10 @@
 constexpr int StatusOk = 200;
 constexpr int StatusCreated = 201;
 constexpr int StatusAccepted = 202;
-constexpr int StatusUnavailable = 503;
 constexpr int DefaultAuditRows = 100;
 constexpr int MaxAuditRows = 1000;
 constexpr size_t MaxChangeIdLength = 128;
 
-using Handler = std::function<void(const httplib::Request &,
-                                   httplib::Response &, const std::string &)>;
-
-/// Lets only operators through to \p handler, which gets the operator's name.
-httplib::Server::Handler forOperators(const CallerTokens &tokens,
-                                      Handler handler) {
-  return [&tokens, handler = std::move(handler)](
-             const httplib::Request &request, httplib::Response &response) {
-    const auto principal =
-        tokens.find(request.get_header_value("Authorization"));
-    if (!principal.has_value())
-      return replyError(response,
-                        refusal(ErrorCode::Unauthorized, "unknown bearer token",
-                                "setting auth.tokens_file"));
-    if (!principal->IsOperator)
-      return replyError(response, refusal(ErrorCode::Forbidden,
-                                          "only operators may do this",
-                                          "setting auth.tokens_file"));
-    handler(request, response, principal->Name);
-  };
-}
-
 std::string newChangeId() {
   thread_local std::mt19937_64 random{std::random_device{}()};
   return absl::StrFormat("c-%016x%016x", random(), random());
@@ -104,39 +81,6 @@
       });
 }
 
-json memberJson(const core::membership::Member &member,
-                std::string_view status) {
-  return {{"name", member.Name},
-          {"zone", member.Zone},
-          {"region", member.Region},
-          {"status", status},
-          {"http_address", member.HttpAddress},
-          {"incarnation", member.Incarnation},
-          {"profile_revision", member.ProfileRevision},
-          {"profile_hash", absl::StrFormat("%016x", member.ProfileHash)},
-          {"draining", member.Draining}};
-}
-
-json backendJson(const BackendState &backend, absl::Time now) {
-  json result = {{"id", backend.Vm.Id},
-                 {"zone", backend.Vm.Zone},
-                 {"address", backend.Vm.Address},
-                 {"model", backend.Vm.Model},
-                 {"service", backend.Vm.Service},
-                 {"leaving", backend.Leaving},
-                 {"in_flight_here", backend.InFlight},
-                 {"usable", backend.isUsable(now)}};
-  if (backend.AsideUntil > now)
-    result["aside_for_ms"] =
-        absl::ToInt64Milliseconds(backend.AsideUntil - now);
-  if (backend.Report.has_value()) {
-    result["queued_prefill_tokens"] = backend.Report->queuedPrefillTokens();
-    result["free_tokens"] = backend.Report->FreeTokens;
-    result["report_age_ms"] = absl::ToInt64Milliseconds(now - backend.ReportAt);
-  }
-  return result;
-}
-
 std::vector<core::platform::Vm> listedVms(SharedRouter &router) {
   return router.withRegistry([](BackendRegistry &registry) {
     std::vector<core::platform::Vm> vms;
@@ -147,27 +91,11 @@
   });
 }
 
-json backendsJson(SharedRouter &router) {
-  const absl::Time now = clock::steadyNow();
-  return router.withRegistry([&](BackendRegistry &registry) {
-    json result = json::array();
-    for (const auto role : BackendRoles)
-      for (const BackendState *it : registry.listed(role))
-        result.push_back(backendJson(*it, now));
-    return result;
-  });
-}
-
 } // namespace
 
 void OperatorApi::registerRoutes(http::HttpServer &server) {
-  registerProfiles(server);
-  registerStatus(server);
-}
-
-void OperatorApi::registerProfiles(http::HttpServer &server) {
   const std::string named = R"(/v1/profiles/([^/]+))";
-  const auto guarded = [this](Handler handler) {
+  const auto guarded = [this](OperatorHandler handler) {
     return forOperators(Context.Tokens, std::move(handler));
   };
   server.Get("/v1/profiles",
@@ -200,32 +128,6 @@
              }));
 }
 
-void OperatorApi::registerStatus(http::HttpServer &server) {
-  const auto guarded = [this](Handler handler) {
-    return forOperators(Context.Tokens, std::move(handler));
-  };
-  server.Get("/v1/status",
-             guarded([this](const auto &, auto &response, const auto &) {
-               showStatus(response);
-             }));
-  server.Get(R"(/v1/requests/([^/]+))",
-             guarded([this](const auto &request, auto &response, const auto &) {
-               showRequest(request.matches[1], response);
-             }));
-  server.Get("/metrics",
-             [this](const auto &, auto &response) { showMetrics(response); });
-  server.Get("/healthz", [](const auto &, auto &response) {
-    replyJson(response, StatusOk, {{"status", "alive"}});
-  });
-  server.Get("/readyz", [this](const auto &, auto &response) {
-    const bool isReady = Context.IsReady() && !Context.Gate.isDraining();
-    replyJson(response, isReady ? StatusOk : StatusUnavailable,
-              {{"status", isReady ? "ready" : "not ready"},
-               {"draining", Context.Gate.isDraining()},
-               {"profile_revision", Context.Profiles.current()->revision()}});
-  });
-}
-
 void OperatorApi::listProfiles(httplib::Response &response) const {
   const ProfileView::Snapshot set = Context.Profiles.current();
   json rows = json::array();
@@ -413,46 +315,4 @@
              {"waiting_for", waiting}});
 }
 
-void OperatorApi::showStatus(httplib::Response &response) const {
-  json members = json::array();
-  members.push_back(memberJson(Context.Peers.self(), "alive"));
-  for (const MemberView &it : Context.Peers.members())
-    members.push_back(
-        memberJson(it.Self, core::membership::memberStatusName(it.Status)));
-  replyJson(response, StatusOk,
-            {{"node", Context.Peers.self().Name},
-             {"ready", Context.IsReady()},
-             {"draining", Context.Gate.isDraining()},
-             {"in_progress", Context.Gate.inProgress()},
-             {"profile_revision", Context.Profiles.current()->revision()},
-             {"nodes", members},
-             {"backends", backendsJson(Context.Router)}});
-}
-
-void OperatorApi::showRequest(const std::string &id,
-                              httplib::Response &response) const {
-  const auto found = Context.Journal.find(id);
-  if (!found.has_value())
-    return replyError(
-        response,
-        refusal(ErrorCode::NotFound,
-                "this node doesn't remember the request; its id names the node",
-                "each node remembers its own last requests"));
-  replyJson(response, StatusOk, *found);
-}
-
-void OperatorApi::showMetrics(httplib::Response &response) const {
-  Context.Metrics.setInProgress(Context.Gate.inProgress());
-  int64_t alive = 1;
-  for (const MemberView &it : Context.Peers.members())
-    alive += it.Status == core::membership::MemberStatus::Alive ? 1 : 0;
-  Context.Metrics.setMembers(alive);
-  Context.Metrics.setTableCalls(Context.TableCalls.Reads,
-                                Context.TableCalls.Writes,
-                                Context.TableCalls.Failures);
-  Context.Metrics.setPeerBytes(Context.Peers.counts().Sent,
-                               Context.Peers.counts().Received);
-  response.set_content(Context.Metrics.text(), "text/plain; version=0.0.4");
-}
-
 } // namespace orioletally::drivers::gateway
--- a/drivers/gateway/operator_api.h
+++ b/drivers/gateway/operator_api.h
@@ -31,7 +31,7 @@
   std::function<bool()> IsReady;
 };
 
-/// The HTTP interface of operators, and the health checks and metrics.
+/// The HTTP interface for profiles and their audit trail.
 class OperatorApi {
 public:
   explicit OperatorApi(const OperatorContext &parts) : Context(parts) {}
@@ -39,11 +39,6 @@
   void registerRoutes(http::HttpServer &server);
 
 private:
-  using Failure = core::errors::RequestError;
-
-  void registerProfiles(http::HttpServer &server);
-  void registerStatus(http::HttpServer &server);
-
   void listProfiles(httplib::Response &response) const;
   void showProfile(const std::string &name, httplib::Response &response) const;
   void putProfile(const httplib::Request &request, httplib::Response &response,
@@ -58,9 +53,6 @@
                  const std::string &profileName);
   void showChange(const std::string &revision,
                   httplib::Response &response) const;
-  void showStatus(httplib::Response &response) const;
-  void showRequest(const std::string &id, httplib::Response &response) const;
-  void showMetrics(httplib::Response &response) const;
 
   const OperatorContext &Context;
 };
--- /dev/null
+++ b/drivers/gateway/operator_auth.cpp
@@ -0,0 +1,30 @@
+#include "drivers/gateway/operator_auth.h"
+
+#include "drivers/gateway/http_reply.h"
+
+#include <utility>
+
+namespace orioletally::drivers::gateway {
+
+using core::errors::ErrorCode;
+using core::errors::refusal;
+
+httplib::Server::Handler forOperators(const CallerTokens &tokens,
+                                      OperatorHandler handler) {
+  return [&tokens, handler = std::move(handler)](
+             const httplib::Request &request, httplib::Response &response) {
+    const auto principal =
+        tokens.find(request.get_header_value("Authorization"));
+    if (!principal.has_value())
+      return replyError(response,
+                        refusal(ErrorCode::Unauthorized, "unknown bearer token",
+                                "setting auth.tokens_file"));
+    if (!principal->IsOperator)
+      return replyError(response, refusal(ErrorCode::Forbidden,
+                                          "only operators may do this",
+                                          "setting auth.tokens_file"));
+    handler(request, response, principal->Name);
+  };
+}
+
+} // namespace orioletally::drivers::gateway
--- /dev/null
+++ b/drivers/gateway/status_api.h
@@ -0,0 +1,29 @@
+#ifndef ORIOLETALLY_DRIVERS_GATEWAY_STATUS_API_H
+#define ORIOLETALLY_DRIVERS_GATEWAY_STATUS_API_H
+
+#include "drivers/gateway/operator_api.h"
+
+#include <string>
+
+namespace orioletally::drivers::gateway {
+
+/// What one node says of itself: health, readiness, metrics, the fleet as it
+/// sees it, and why a request went the way it did.
+class StatusApi {
+public:
+  explicit StatusApi(const OperatorContext &parts) : Context(parts) {}
+
+  void registerRoutes(http::HttpServer &server);
+
+private:
+  void showReadiness(httplib::Response &response) const;
+  void showStatus(httplib::Response &response) const;
+  void showRequest(const std::string &id, httplib::Response &response) const;
+  void showMetrics(httplib::Response &response) const;
+
+  const OperatorContext &Context;
+};
+
+} // namespace orioletally::drivers::gateway
+
+#endif
--- a/main/node.cpp
+++ b/main/node.cpp
@@ -11,6 +11,7 @@
 #include "drivers/gateway/fleet_poller.h"
 #include "drivers/gateway/http_reply.h"
 #include "drivers/gateway/operator_api.h"
+#include "drivers/gateway/status_api.h"
 #include "drivers/log/log.h"
 #include "drivers/platform/http_table_service.h"
 #include "drivers/platform/http_vm_list.h"
@@ -191,7 +192,7 @@
                       Table.counts(),
                       milliseconds(Settings, "profiles.accept_wait_ms"),
                       [this] { return isReady(); }},
-        Callers(CallerParts), Operators(OperatorParts),
+        Callers(CallerParts), Operators(OperatorParts), Status(OperatorParts),
         Server(serverSettings(Settings)) {
     Sync.setPeers(&Peers);
     Router.setDispatchHandler([this](const core::membership::Dispatch &it) {
@@ -262,6 +263,7 @@
   drivers::gateway::OperatorContext OperatorParts;
   drivers::gateway::CallerApi Callers;
   drivers::gateway::OperatorApi Operators;
+  drivers::gateway::StatusApi Status;
   drivers::http::HttpServer Server;
 };
 
@@ -280,6 +282,7 @@
     All->Peers.addSeed(it);
   All->Callers.registerRoutes(All->Server);
   All->Operators.registerRoutes(All->Server);
+  All->Status.registerRoutes(All->Server);
   All->Server.set_error_handler(
       [](const httplib::Request &request, httplib::Response &response) {
         drivers::gateway::replyLibraryError(request, response);
