Kill nodes amid repeats and amid a change

Cause: kills of real nodes were proved in virtual time only.

Change: two fault tests; the shutdown test takes its streams from the environment. Both passed the first time: the code they test was there, so they were not shown failing first.

--- a/tests/system/test_faults.cpp
+++ b/tests/system/test_faults.cpp
@@ -199,11 +199,12 @@
 
 TEST(Faults, GracefulShutdownCutsOffNothing) {
   start(2, 2);
-  constexpr int Streams = 200;
+  // ORIOLETALLY_STREAMS=1000 for the size that the promise names.
+  const int Streams = numberFrom("ORIOLETALLY_STREAMS", 200);
   BackgroundLoad load(planFor(node(0), 150), Streams);
   CHECK(eventually([&] {
     return fleet->Engines[0]->submits() + fleet->Engines[1]->submits() ==
-           Streams;
+           static_cast<uint64_t>(Streams);
   }));
   node(0).signal(SIGTERM);
   CHECK(eventually([&] {
@@ -395,6 +396,57 @@
     LONGS_EQUAL_TEXT(1, n, key.c_str());
 }
 
+TEST(Faults, NodeKilledAmidRepeatsLetsNothingRunTwice) {
+  start(1, 3);
+  FleetFixture::createProfile(
+      node(0), "sub",
+      {{"kind", "service"}, {"service", "records"}, {"repeatable", false}});
+  lab::ServiceFaults slow;
+  slow.DelayMs = 30;
+  fleet->Services[0]->setFaults(slow);
+  std::vector<std::thread> threads;
+  for (size_t n = 0; n < 3; ++n)
+    threads.emplace_back([&, n] {
+      for (int key = 0; key < 30; ++key)
+        apply(node(n), fmt::format("k{}", key));
+    });
+  std::this_thread::sleep_for(milliseconds(250));
+  node(0).signal(SIGKILL);
+  for (std::thread &it : threads)
+    it.join();
+  const auto executions = fleet->Services[0]->executions();
+  for (const auto &[key, n] : executions)
+    LONGS_EQUAL_TEXT(1, n, key.c_str());
+  CHECK(executions.size() >= 25);
+}
+
+TEST(Faults, NodeKilledAmidAChangeLeavesItWholeOrUndone) {
+  start(1, 3);
+  for (uint64_t round = 0; round < 3; ++round) {
+    const uint64_t revision = round + 1;
+    const tests::HeaderList headers = {
+        {"If-Match", fmt::format("\"{}\"", revision)},
+        {"X-Change-Id", fmt::format("change-{}", round)}};
+    const std::string body = json({{"priority", round}}).dump();
+    NodeProcess &doomed = node(round);
+    std::thread sender([&] {
+      httpCall(doomed.address(), "PUT", "/v1/profiles/p", "operator", body,
+               headers);
+    });
+    std::this_thread::sleep_for(milliseconds(round));
+    doomed.signal(SIGKILL);
+    sender.join();
+    fleet->addReadyNode(named(fmt::format("fresh-{}", round), "zone-a"));
+    // The same change id through another node finds out or does it, once.
+    const HttpAnswer again =
+        httpCall(fleet->Nodes.back()->address(), "PUT", "/v1/profiles/p",
+                 "operator", body, headers);
+    CHECK(again.Status == 200 || again.Status == 202);
+    LONGS_EQUAL(revision + 1,
+                again.json()["profile"]["revision"].get<uint64_t>());
+  }
+}
+
 TEST(Faults, NoNodeAnswersUnderARevisionOlderThanAnAcceptedOne) {
   start(1, 3);
   std::atomic<uint64_t> accepted = 1;
