Remove what nothing uses, and show since when a VM leaves

Cause: the last reading found a handler that did nothing, a reference that the service runner never used, and a time that was kept and never shown.

Change: the first two are gone; status shows leaving_for_ms. Measured: history, peers and callers pass, with the same counts as before.

--- a/drivers/gateway/service_runner.h
+++ b/drivers/gateway/service_runner.h
@@ -5,7 +5,6 @@
 #include "core/claims/claim_ledger.h"
 #include "core/errors/request_error.h"
 #include "core/profiles/profile.h"
-#include "drivers/gateway/background_calls.h"
 #include "drivers/gateway/shared_router.h"
 
 #include <functional>
@@ -34,7 +33,6 @@
   core::backends::ServiceClient &Services;
   core::platform::TableService &Table;
   SharedRouter &Router;
-  BackgroundCalls &Background;
   /// Node and incarnation, which own the claims.
   std::string Owner;
   /// Longest time between asking for a claim and sending the call.
--- a/drivers/gateway/status_api.cpp
+++ b/drivers/gateway/status_api.cpp
@@ -45,6 +45,9 @@
                  {"leaving", backend.Leaving},
                  {"in_flight_here", backend.InFlight},
                  {"usable", backend.isUsable(now)}};
+  if (backend.Leaving)
+    result["leaving_for_ms"] =
+        absl::ToInt64Milliseconds(now - backend.LeavingSince);
   if (backend.AsideUntil > now)
     result["aside_for_ms"] =
         absl::ToInt64Milliseconds(backend.AsideUntil - now);
--- a/drivers/peer/peer_service.cpp
+++ b/drivers/peer/peer_service.cpp
@@ -103,7 +103,8 @@
     const TickFindings findings = Detector.tick(clock::steadyNow());
     lock.unlock();
     if (findings.WasFrozen)
-      Handlers.WasFrozen();
+      log::write(log::Level::Warn, "probes_paused",
+                 {{"reason", "this process was frozen"}});
     for (const std::string &it : findings.NewlyDead)
       log::write(log::Level::Warn, "member_dead", {{"member", it}});
     send(findings.Outgoing);
--- a/drivers/peer/peer_service.h
+++ b/drivers/peer/peer_service.h
@@ -31,8 +31,6 @@
   std::function<void(const core::membership::EngineLoads &)> TakeLoads;
   /// Takes a submit of another node to an engine.
   std::function<void(const core::membership::Dispatch &)> TakeDispatch;
-  /// The process was frozen for a while.
-  std::function<void()> WasFrozen;
 };
 
 /// The entry nodes as one node knows them, and what they tell each other:
--- a/main/node.cpp
+++ b/main/node.cpp
@@ -168,7 +168,6 @@
         Service{Services,
                 Table,
                 Router,
-                Background,
                 Owner,
                 milliseconds(Settings, "claims.send_ms"),
                 drivers::clock::steadyNow},
@@ -233,7 +232,6 @@
                                              it.PrefillTokens, it.Priority});
       });
     };
-    handlers.WasFrozen = [] {};
     return handlers;
   }
 
--- a/tests/drivers/test_peers.cpp
+++ b/tests/drivers/test_peers.cpp
@@ -30,7 +30,6 @@
   handlers.TakeLeaving = [](const auto &ids) { return ids; };
   handlers.TakeLoads = [](const auto &) {};
   handlers.TakeDispatch = [](const auto &) {};
-  handlers.WasFrozen = [] {};
   return handlers;
 }
 
--- a/tests/history/test_claim_history.cpp
+++ b/tests/history/test_claim_history.cpp
@@ -39,8 +39,7 @@
 /// kill the node.
 class ClaimWorld : public core::backends::ServiceClient {
 public:
-  explicit ClaimWorld(uint64_t seed)
-      : Random(seed), Router({}, Freshness), Background(1, 1) {
+  explicit ClaimWorld(uint64_t seed) : Random(seed), Router({}, Freshness) {
     Freshness.touch(absl::InfiniteFuture());
     core::platform::Vm vm;
     vm.Role = core::platform::VmRole::Service;
@@ -155,13 +154,9 @@
     plan.Call.Path = "apply";
     plan.Call.IdempotencyKey = key;
     plan.Deadline = Now + plan.Profile.deadline();
-    const ServiceContext context{*this,
-                                 Table,
-                                 Router,
-                                 Background,
-                                 fmt::format("node-{}", chance(4)),
-                                 ClaimBound,
-                                 [this] { return Now; }};
+    const ServiceContext context{*this,      Table,
+                                 Router,     fmt::format("node-{}", chance(4)),
+                                 ClaimBound, [this] { return Now; }};
     const std::string requestId = plan.Call.RequestId;
     AskedAt[requestId] = Now;
     try {
@@ -187,7 +182,6 @@
   absl::Time Now = tests::at(0);
   drivers::gateway::ViewFreshness Freshness{absl::InfiniteDuration()};
   drivers::gateway::SharedRouter Router;
-  drivers::gateway::BackgroundCalls Background;
   FakeTable Table;
   std::vector<core::platform::Vm> Vms;
   std::vector<std::string> Waiting;
--- a/tests/lab/spread.cpp
+++ b/tests/lab/spread.cpp
@@ -79,7 +79,6 @@
     };
     result.TakeLoads = [](const auto &) {};
     result.TakeDispatch = [](const auto &) {};
-    result.WasFrozen = [] {};
     return result;
   }
 };
