--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -8,6 +8,13 @@
 clang-format --dry-run --Werror "${all[@]}"
 echo "lint: format of ${#all[@]} files is clean"
 
+# A shell script is checked for its first line, its mode and its syntax.
+while read -r mode _ _ script; do
+  [ "$mode" = 100755 ] && [ "$(head -c 2 "$script")" = '#!' ] && bash -n "$script" ||
+    { echo "lint: $script isn't a sound shell script" >&2; exit 1; }
+done < <(git ls-files -s '*.sh' .ci/run)
+echo "lint: shell scripts are sound"
+
 if [ $# -ge 1 ]; then
   mapfile -t product < <(git diff --name-only --diff-filter=d "$1" -- 'core/*.cpp' 'drivers/*.cpp' 'main/*.cpp')
 else
