Look up once what a choice and a submit's news need

Cause: the last reading found the cached prefix looked up twice a choice, every member copied for each submit that is told to peers, a message made before it was known whether it would be sent, and the list of backend roles twice.

Change: one look-up; members are visited in place; the thinning is decided first; BackendRegistry::listedBackends serves both interfaces.

What the copy cost was not measured.

--- a/core/membership/failure_detector.h
+++ b/core/membership/failure_detector.h
@@ -76,6 +76,12 @@
   /// Every other member known, dead ones too, in the order of their names.
   std::vector<MemberView> members() const;
 
+  /// Calls \p visit with each of them, without a copy.
+  template <typename Function> void visitMembers(Function visit) const {
+    for (const auto &[name, entry] : Members)
+      visit(entry.View);
+  }
+
   /// Since when a member has had its status.
   std::optional<absl::Time> statusSince(std::string_view name) const;
 
--- a/core/routing/backend_registry.cpp
+++ b/core/routing/backend_registry.cpp
@@ -162,6 +162,13 @@
   return result;
 }
 
+std::vector<const BackendState *> BackendRegistry::listedBackends() const {
+  std::vector<const BackendState *> result = listed(platform::VmRole::Engine);
+  const auto services = listed(platform::VmRole::Service);
+  result.insert(result.end(), services.begin(), services.end());
+  return result;
+}
+
 std::vector<std::string> BackendRegistry::leaving() const {
   std::vector<std::string> result;
   for (const auto &[id, backend] : Backends)
--- a/core/routing/backend_registry.h
+++ b/core/routing/backend_registry.h
@@ -78,6 +78,9 @@
   /// Backend servers with \p role that are listed, in the order of their ids.
   std::vector<const BackendState *> listed(platform::VmRole role) const;
 
+  /// Every listed backend server, the engines first.
+  std::vector<const BackendState *> listedBackends() const;
+
   /// Ids that this node itself knows to be leaving, for its peers.
   std::vector<std::string> leaving() const;
 
--- a/core/routing/fleet_router.cpp
+++ b/core/routing/fleet_router.cpp
@@ -87,12 +87,11 @@
   choice.BackendId = chosen.Vm.Id;
   choice.Address = chosen.Vm.Address;
   choice.PredictedFirstToken = predictFirstToken(chosen, context);
+  const int64_t cached = Prefixes.believedTokens(chosen.Vm.Id, query.Prefix);
   choice.Reason = absl::StrFormat(
       "%s among %d of %d, first token predicted in %d ms, cached %d tokens",
       query.Policy, candidates.size(), known.size(),
-      absl::ToInt64Milliseconds(choice.PredictedFirstToken),
-      Prefixes.believedTokens(chosen.Vm.Id, query.Prefix));
-  const int64_t cached = Prefixes.believedTokens(chosen.Vm.Id, query.Prefix);
+      absl::ToInt64Milliseconds(choice.PredictedFirstToken), cached);
   choice.PrefillTokens = std::max<int64_t>(0, query.PromptTokens - cached);
   Registry.dispatched(choice.BackendId,
                       {now, choice.PrefillTokens, query.Priority});
--- a/drivers/gateway/operator_api.cpp
+++ b/drivers/gateway/operator_api.cpp
@@ -9,7 +9,6 @@
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_format.h>
-#include <array>
 #include <fmt/format.h>
 #include <random>
 #include <utility>
@@ -34,8 +33,6 @@
 using core::routing::BackendState;
 using nlohmann::json;
 
-constexpr std::array BackendRoles = {core::platform::VmRole::Engine,
-                                     core::platform::VmRole::Service};
 constexpr int StatusOk = 200;
 constexpr int StatusCreated = 201;
 constexpr int StatusAccepted = 202;
@@ -83,9 +80,8 @@
 std::vector<core::platform::Vm> listedVms(SharedRouter &router) {
   return router.withRegistry([](BackendRegistry &registry) {
     std::vector<core::platform::Vm> vms;
-    for (const auto role : BackendRoles)
-      for (const BackendState *it : registry.listed(role))
-        vms.push_back(it->Vm);
+    for (const BackendState *it : registry.listedBackends())
+      vms.push_back(it->Vm);
     return vms;
   });
 }
--- a/drivers/gateway/status_api.cpp
+++ b/drivers/gateway/status_api.cpp
@@ -5,7 +5,6 @@
 #include "drivers/gateway/operator_auth.h"
 
 #include <absl/strings/str_format.h>
-#include <array>
 
 namespace orioletally::drivers::gateway {
 
@@ -18,8 +17,6 @@
 using core::routing::BackendState;
 using nlohmann::json;
 
-constexpr std::array BackendRoles = {core::platform::VmRole::Engine,
-                                     core::platform::VmRole::Service};
 constexpr int StatusOk = 200;
 constexpr int StatusUnavailable = 503;
 
@@ -63,9 +60,8 @@
   const absl::Time now = clock::steadyNow();
   return router.withRegistry([&](BackendRegistry &registry) {
     json result = json::array();
-    for (const auto role : BackendRoles)
-      for (const BackendState *it : registry.listed(role))
-        result.push_back(backendJson(*it, now));
+    for (const BackendState *it : registry.listedBackends())
+      result.push_back(backendJson(*it, now));
     return result;
   });
 }
--- a/drivers/peer/peer_service.cpp
+++ b/drivers/peer/peer_service.cpp
@@ -202,12 +202,12 @@
   const Member &own = Detector.self();
   std::vector<std::string> sameZone;
   std::vector<std::string> sameRegion;
-  for (const MemberView &it : Detector.members()) {
+  Detector.visitMembers([&](const MemberView &it) {
     if (it.Status != MemberStatus::Alive || it.Self.Region != own.Region)
-      continue;
+      return;
     const bool isSameZone = it.Self.Zone == own.Zone;
     (isSameZone ? sameZone : sameRegion).push_back(it.Self.PeerAddress);
-  }
+  });
   // In a small region everyone hears of every engine; in a large one detail
   // stays in the zone.
   if (sameZone.size() + sameRegion.size() <= DetailFanout)
@@ -221,16 +221,16 @@
 }
 
 void PeerService::shareDispatch(const Dispatch &dispatch) {
-  PeerMessage message;
-  message.From.Name = self().Name;
-  message.Body = dispatch;
-  const std::string bytes = encode(message);
   const std::vector<std::string> peers = detailPeers();
   // With many nodes a message for every short prompt would exceed what a node
   // may send; the long ones are what others have to know.
   const bool isSmall = dispatch.PrefillTokens < ThinnedPromptTokens;
   if (isSmall && peers.size() > UnthinnedFanout)
     return;
+  PeerMessage message;
+  message.From.Name = self().Name;
+  message.Body = dispatch;
+  const std::string bytes = encode(message);
   for (const std::string &it : peers)
     Transport.send(it, bytes);
 }
