--- /dev/null
+++ b/core/engines/engine_load.cpp
@@ -0,0 +1,131 @@
+#include "core/engines/engine_load.h"
+
+#include <algorithm>
+
+namespace orioletally::core::engines {
+
+namespace {
+
+/// A prompt whose end isn't heard of is forgotten after this many times its
+/// predicted duration; the message that told of its end was lost.
+constexpr double ForgetFactor = 4;
+/// Forgetting waits at least as long as a silent engine is waited for.
+constexpr absl::Duration ForgetSlack = absl::Seconds(3);
+
+/// Time per token while \p prompt is being read beside \p pass per chunk.
+absl::Duration timePerToken(const EngineSpeed &speed, int64_t prompt,
+                            absl::Duration pass) {
+  return (readTime(speed, speed.ChunkTokens, prompt) + pass) /
+         static_cast<double>(speed.ChunkTokens);
+}
+
+} // namespace
+
+void EngineLoad::add(const RunningPrompt &prompt, absl::Time now,
+                     const EngineSpeed &speed) {
+  advance(now, speed);
+  RunningPrompt added = prompt;
+  added.UnreadTokens = static_cast<double>(prompt.ReadTokens);
+  Prompts.push_back(added);
+}
+
+void EngineLoad::firstToken(uint64_t id, absl::Time now,
+                            const EngineSpeed &speed) {
+  advance(now, speed);
+  for (RunningPrompt &it : Prompts) {
+    if (it.Id != id)
+      continue;
+    it.UnreadTokens = 0;
+    it.WritingSince = std::min(it.WritingSince, now);
+  }
+  std::erase_if(Prompts, [&](const RunningPrompt &it) {
+    return it.Id == id && it.AnswerTokens == 0;
+  });
+}
+
+void EngineLoad::remove(uint64_t id, absl::Time now, const EngineSpeed &speed) {
+  advance(now, speed);
+  std::erase_if(Prompts, [&](const RunningPrompt &it) { return it.Id == id; });
+}
+
+void EngineLoad::advance(absl::Time now, const EngineSpeed &speed) {
+  absl::Duration left = AdvancedTo == absl::InfinitePast()
+                            ? absl::ZeroDuration()
+                            : now - AdvancedTo;
+  AdvancedTo = now;
+  for (RunningPrompt &it : Prompts) {
+    if (left <= absl::ZeroDuration())
+      break;
+    if (it.UnreadTokens <= 0)
+      continue;
+    const absl::Duration each = timePerToken(
+        speed, it.PromptTokens, passTime(speed, writers(), writingContext()));
+    const double read =
+        std::min(it.UnreadTokens, absl::FDivDuration(left, each));
+    it.UnreadTokens -= read;
+    left -= read * each;
+    if (it.UnreadTokens <= 0 && it.AnswerTokens > 0)
+      it.WritingSince = now - left;
+  }
+  std::erase_if(Prompts, [&](const RunningPrompt &it) {
+    if (it.AnswerTokens == 0 && it.UnreadTokens <= 0)
+      return true;
+    if (!it.isWriting())
+      return false;
+    const absl::Duration writing =
+        static_cast<double>(it.AnswerTokens) /
+        static_cast<double>(speed.StepsPerPass) *
+        (passTime(speed, speed.Slots, 0) +
+         readTime(speed, speed.ChunkTokens, speed.ChunkTokens));
+    return now - it.WritingSince > ForgetFactor * writing + ForgetSlack;
+  });
+}
+
+absl::Duration EngineLoad::predictFirstToken(int64_t tokens, int64_t prompt,
+                                             const EngineSpeed &speed,
+                                             double pace) const {
+  const int64_t writing = writers();
+  const absl::Duration pass = passTime(speed, writing, writingContext());
+  absl::Duration total = writing > 0 ? pass / 2 : absl::ZeroDuration();
+  for (const RunningPrompt &it : Prompts)
+    if (it.UnreadTokens > 0)
+      total += it.UnreadTokens * timePerToken(speed, it.PromptTokens, pass);
+  // Those ahead write while this one is read.
+  const int64_t later = writing + readers();
+  const absl::Duration beside =
+      passTime(speed, later, writingContext() + (later - writing) * prompt);
+  const int64_t chunks = (tokens + speed.ChunkTokens - 1) / speed.ChunkTokens;
+  total +=
+      readTime(speed, tokens, prompt) + static_cast<double>(chunks) * beside;
+  total += passTime(speed, later + 1, writingContext() + prompt);
+  return pace * total;
+}
+
+int64_t EngineLoad::writers() const {
+  return std::count_if(Prompts.begin(), Prompts.end(),
+                       [](const RunningPrompt &it) { return it.isWriting(); });
+}
+
+int64_t EngineLoad::readers() const {
+  return std::count_if(
+      Prompts.begin(), Prompts.end(),
+      [](const RunningPrompt &it) { return it.UnreadTokens > 0; });
+}
+
+int64_t EngineLoad::memoryTokens() const {
+  int64_t total = 0;
+  for (const RunningPrompt &it : Prompts)
+    if (it.AnswerTokens > 0)
+      total += it.PromptTokens + it.AnswerTokens;
+  return total;
+}
+
+int64_t EngineLoad::writingContext() const {
+  int64_t total = 0;
+  for (const RunningPrompt &it : Prompts)
+    if (it.isWriting())
+      total += it.PromptTokens;
+  return total;
+}
+
+} // namespace orioletally::core::engines
--- /dev/null
+++ b/core/engines/engine_load.h
@@ -0,0 +1,74 @@
+#ifndef ORIOLETALLY_CORE_ENGINES_ENGINE_LOAD_H
+#define ORIOLETALLY_CORE_ENGINES_ENGINE_LOAD_H
+
+#include "core/engines/engine_speed.h"
+
+#include <absl/time/time.h>
+#include <cstdint>
+#include <vector>
+
+namespace orioletally::core::engines {
+
+/// One prompt, or a helper's part of one, that an engine was given.
+struct RunningPrompt {
+  /// Unique among all nodes.
+  uint64_t Id = 0;
+  /// Tokens that this engine reads: the prompt, or its part of it.
+  int64_t ReadTokens = 0;
+  /// Tokens of the whole prompt.
+  int64_t PromptTokens = 0;
+  /// Tokens that this engine writes; 0 for a helper.
+  int64_t AnswerTokens = 0;
+  absl::Time StartedAt;
+  /// Tokens still to be read, as estimated at the last advance.
+  double UnreadTokens = 0;
+  /// When the first token was seen or, by estimate, produced.
+  absl::Time WritingSince = absl::InfiniteFuture();
+
+  bool isWriting() const { return WritingSince != absl::InfiniteFuture(); }
+};
+
+/// What all nodes together have sent to one engine, and how far the engine
+/// has got with it. Prompts are read one after the other; known events (first
+/// token, end) correct the estimate.
+class EngineLoad {
+public:
+  /// Takes in a prompt that this or another node has just sent.
+  void add(const RunningPrompt &prompt, absl::Time now,
+           const EngineSpeed &speed);
+
+  /// The first token of \p id has come.
+  void firstToken(uint64_t id, absl::Time now, const EngineSpeed &speed);
+
+  /// \p id is over.
+  void remove(uint64_t id, absl::Time now, const EngineSpeed &speed);
+
+  /// Brings the estimate up to \p now and forgets prompts whose end must have
+  /// been missed.
+  void advance(absl::Time now, const EngineSpeed &speed);
+
+  /// Returns the time from now until the first token of a new prompt of which
+  /// this engine reads \p tokens. \p pace is above 1 for a slow engine.
+  absl::Duration predictFirstToken(int64_t tokens, int64_t prompt,
+                                   const EngineSpeed &speed, double pace) const;
+
+  /// Requests that write or are expected to.
+  int64_t writers() const;
+  /// Prompts that still have tokens to read.
+  int64_t readers() const;
+  /// Tokens of memory in use once all that was sent has been read.
+  int64_t memoryTokens() const;
+  bool isIdle() const { return Prompts.empty(); }
+  const std::vector<RunningPrompt> &prompts() const { return Prompts; }
+
+private:
+  int64_t writingContext() const;
+
+  /// In the order in which they are read.
+  std::vector<RunningPrompt> Prompts;
+  absl::Time AdvancedTo = absl::InfinitePast();
+};
+
+} // namespace orioletally::core::engines
+
+#endif
--- /dev/null
+++ b/core/engines/engine_placement.h
@@ -0,0 +1,72 @@
+#ifndef ORIOLETALLY_CORE_ENGINES_ENGINE_PLACEMENT_H
+#define ORIOLETALLY_CORE_ENGINES_ENGINE_PLACEMENT_H
+
+#include "core/engines/engine_load.h"
+#include "core/engines/engine_speed.h"
+
+#include <absl/random/bit_gen_ref.h>
+#include <absl/time/time.h>
+#include <absl/types/span.h>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace orioletally::core::engines {
+
+/// An engine that a prompt may be placed on, as one node sees it.
+struct EngineCandidate {
+  const EngineLoad *Load = nullptr;
+  /// Position in an order of the service's engines that all nodes share, from
+  /// 0 to 1. Short prompts gather at its beginning, long ones at its end.
+  double Rank = 0;
+  /// Seen time over predicted time of late, 1 for an engine as declared.
+  double Pace = 1;
+  /// Added to the cost for failures seen of late and for a longer way.
+  absl::Duration Handicap = absl::ZeroDuration();
+};
+
+/// The prompt that is to be placed.
+struct PromptDemand {
+  int64_t PromptTokens = 0;
+  int64_t AnswerTokens = 0;
+  /// Time that is left until the first token is late.
+  absl::Duration Objective;
+  /// Time after which the caller has left.
+  absl::Duration Patience;
+};
+
+/// Where a prompt goes.
+struct EngineChoice {
+  size_t Engine = 0;
+  /// Engines that read parts of the prompt, in addition to `Engine`.
+  std::vector<size_t> Helpers;
+  absl::Duration PredictedFirstToken;
+};
+
+/// Why a prompt isn't placed, and when the engines will have caught up.
+struct PlacementRefusal {
+  /// True when no engine's memory can ever hold the prompt.
+  bool TooLarge = false;
+  absl::Duration ComeBackIn;
+};
+
+struct PlacementResult {
+  std::optional<EngineChoice> Choice;
+  PlacementRefusal Refusal;
+};
+
+/// Places prompts of very unlike lengths on one fleet of engines.
+///
+/// Load answered: many short prompts beside few that are 10 to 100 times as
+/// long. An engine on which any request writes reads six times as slowly, so
+/// short prompts gather on engines that write already, as long as they stay
+/// inside their objective there, and long prompts find engines that don't.
+/// The border between the two moves with the load because it is nothing but
+/// the set of engines that short prompts have needed lately.
+PlacementResult placePrompt(const PromptDemand &demand,
+                            absl::Span<const EngineCandidate> engines,
+                            const EngineSpeed &speed, absl::BitGenRef random);
+
+} // namespace orioletally::core::engines
+
+#endif
--- /dev/null
+++ b/core/engines/engine_speed.cpp
@@ -0,0 +1,30 @@
+#include "core/engines/engine_speed.h"
+
+namespace orioletally::core::engines {
+
+namespace {
+constexpr double PairsInMillion = 1e6;
+constexpr double TokensInThousand = 1e3;
+} // namespace
+
+absl::Duration readTime(const EngineSpeed &speed, int64_t tokens,
+                        int64_t prompt) {
+  const auto n = static_cast<double>(tokens);
+  // A prompt of N tokens has N*N/2 pairs; a part has its share of them.
+  const double pairs = n * static_cast<double>(prompt) / 2;
+  return absl::Seconds(n / speed.ReadTokensPerSecond) +
+         pairs / PairsInMillion * speed.PairsPerMillion;
+}
+
+absl::Duration passTime(const EngineSpeed &speed, int64_t writers,
+                        int64_t contextTokens) {
+  if (writers == 0)
+    return speed.Step;
+  const absl::Duration step =
+      speed.Step + static_cast<double>(writers) * speed.StepPerWriter +
+      static_cast<double>(contextTokens) / TokensInThousand *
+          speed.StepPerThousandContext;
+  return static_cast<double>(speed.StepsPerPass) * step;
+}
+
+} // namespace orioletally::core::engines
--- /dev/null
+++ b/core/engines/engine_speed.h
@@ -0,0 +1,47 @@
+#ifndef ORIOLETALLY_CORE_ENGINES_ENGINE_SPEED_H
+#define ORIOLETALLY_CORE_ENGINES_ENGINE_SPEED_H
+
+#include <absl/time/time.h>
+#include <cstdint>
+
+namespace orioletally::core::engines {
+
+/// How fast the engines of one service work, as its operator declares it. An
+/// engine works in passes of token steps; prompts are read in chunks between
+/// the steps.
+struct EngineSpeed {
+  /// Requests that an engine runs at once.
+  int64_t Slots = 16;
+  /// Tokens that an engine's memory holds, prompts and answers together.
+  int64_t MemoryTokens = 450000;
+  /// Token steps in a pass while any request writes.
+  int64_t StepsPerPass = 1;
+  /// Time of one step by itself.
+  absl::Duration Step = absl::Milliseconds(1);
+  /// Added to a step by each request that writes.
+  absl::Duration StepPerWriter = absl::ZeroDuration();
+  /// Added to a step by each 1,000 tokens of context of a writing request.
+  absl::Duration StepPerThousandContext = absl::ZeroDuration();
+  /// Prompt tokens read in a second when nothing else runs.
+  double ReadTokensPerSecond = 100000;
+  /// Time for a million pairs of a prompt token and an earlier one.
+  absl::Duration PairsPerMillion = absl::ZeroDuration();
+  /// The most prompt tokens that are read in one step or pass.
+  int64_t ChunkTokens = 2048;
+  /// Mean length of answers, for calls that don't say theirs.
+  int64_t UsualAnswerTokens = 256;
+};
+
+/// Time to read \p tokens of a prompt of \p prompt tokens when nothing else
+/// runs, without the steps between the chunks. Pairs are spread evenly.
+absl::Duration readTime(const EngineSpeed &speed, int64_t tokens,
+                        int64_t prompt);
+
+/// Time of the steps that go with one chunk while \p writers requests with
+/// \p contextTokens tokens in all are writing.
+absl::Duration passTime(const EngineSpeed &speed, int64_t writers,
+                        int64_t contextTokens);
+
+} // namespace orioletally::core::engines
+
+#endif
--- a/core/fields/field_table.cpp
+++ b/core/fields/field_table.cpp
@@ -14,6 +14,8 @@
   switch (type) {
   case FieldType::Integer:
     return "integer";
+  case FieldType::Real:
+    return "number";
   case FieldType::Boolean:
     return "boolean";
   case FieldType::Text:
@@ -29,7 +31,7 @@
 std::string rangeText(const FieldSpec &spec) {
   if (spec.Type == FieldType::Choice)
     return fmt::format("one of {}", spec.Choices);
-  if (spec.Type == FieldType::Integer)
+  if (spec.Type == FieldType::Integer || spec.Type == FieldType::Real)
     return fmt::format("{} to {}", spec.Min, spec.Max);
   if (spec.Type == FieldType::Text)
     return fmt::format("{} to {} characters", spec.Min, spec.Max);
@@ -60,6 +62,16 @@
   return FieldValue(n);
 }
 
+leaf::result<FieldValue> readReal(const FieldSpec &spec,
+                                  const nlohmann::json &value) {
+  if (!value.is_number())
+    return refuse(spec);
+  const auto n = value.get<double>();
+  if (n < static_cast<double>(spec.Min) || n > static_cast<double>(spec.Max))
+    return refuse(spec);
+  return FieldValue(n);
+}
+
 /// Whether \p word is one of the comma-separated \p choices.
 bool isChoice(std::string_view choices, std::string_view word) {
   while (!choices.empty()) {
@@ -105,6 +117,8 @@
   switch (spec.Type) {
   case FieldType::Integer:
     return readInteger(spec, value);
+  case FieldType::Real:
+    return readReal(spec, value);
   case FieldType::Boolean:
     if (!value.is_boolean())
       return refuse(spec);
@@ -128,6 +142,10 @@
   return std::get<int64_t>(at(key));
 }
 
+double FieldValues::real(std::string_view key) const {
+  return std::get<double>(at(key));
+}
+
 bool FieldValues::flag(std::string_view key) const {
   return std::get<bool>(at(key));
 }
--- a/core/fields/field_table.h
+++ b/core/fields/field_table.h
@@ -14,7 +14,7 @@
 namespace orioletally::core::fields {
 
 /// The type of one field of a settings file or profile.
-enum class FieldType { Integer, Boolean, Text, TextList, Choice };
+enum class FieldType { Integer, Real, Boolean, Text, TextList, Choice };
 
 /// Declares one field: the single source of its default, range and text in
 /// the generated reference pages.
@@ -25,7 +25,7 @@
   std::string_view Unit;
   /// Default as JSON text; empty marks a field that must be given.
   std::string_view Default;
-  /// Inclusive bounds of an integer, or of the length of a text.
+  /// Inclusive bounds of a number, or of the length of a text.
   int64_t Min;
   int64_t Max;
   /// Comma-separated words that a Choice allows.
@@ -40,13 +40,14 @@
 };
 
 using FieldValue =
-    std::variant<int64_t, bool, std::string, std::vector<std::string>>;
+    std::variant<int64_t, double, bool, std::string, std::vector<std::string>>;
 
 /// The complete, defaulted values of one FieldTable. Asking for a key that the
 /// table doesn't declare is a mistake in the code.
 class FieldValues {
 public:
   int64_t integer(std::string_view key) const;
+  double real(std::string_view key) const;
   bool flag(std::string_view key) const;
   const std::string &text(std::string_view key) const;
   const std::vector<std::string> &list(std::string_view key) const;
--- /dev/null
+++ b/core/fleet/backend_directory.cpp
@@ -0,0 +1,166 @@
+#include "core/fleet/backend_directory.h"
+
+#include <absl/container/flat_hash_set.h>
+#include <algorithm>
+#include <array>
+#include <utility>
+#include <xxhash.h>
+
+namespace orioletally::core::fleet {
+
+namespace {
+
+/// A live backend server is listed again within two seconds of the list's
+/// return; the rest is for the way here.
+constexpr absl::Duration RelistBound = absl::Milliseconds(2300);
+
+constexpr std::array<std::string_view, 6> ChangeNames = {
+    "none", "added", "changed", "restarted", "leaving", "gone"};
+
+} // namespace
+
+std::string_view directoryChangeName(DirectoryChange change) {
+  return ChangeNames[static_cast<size_t>(change)];
+}
+
+uint64_t BackendDirectory::hashOf(std::string_view id) {
+  return XXH3_64bits(id.data(), id.size());
+}
+
+DirectoryChange BackendDirectory::put(BackendEntry entry, absl::Time now) {
+  const auto found = Servers.find(entry.Id);
+  if (found == Servers.end() || now >= found->second->GoneAt) {
+    auto added = std::make_shared<BackendServer>();
+    const bool isLeaving = entry.Leaving;
+    added->Entry = std::move(entry);
+    Servers.insert_or_assign(added->Entry.Id, added);
+    rank();
+    return isLeaving ? DirectoryChange::Leaving : DirectoryChange::Added;
+  }
+  BackendServer &known = *found->second;
+  if (entry.RowVersion < known.Entry.RowVersion)
+    return DirectoryChange::None;
+  const bool isRestart = entry.BornMs != known.Entry.BornMs ||
+                         entry.Address != known.Entry.Address ||
+                         entry.Service != known.Entry.Service;
+  const bool leftNow = entry.Leaving && !known.Entry.Leaving;
+  known.GoneAt = absl::InfiniteFuture();
+  if (isRestart) {
+    // A new object, so that calls in progress don't touch the new start.
+    auto started = std::make_shared<BackendServer>();
+    started->Entry = std::move(entry);
+    found->second = std::move(started);
+    rank();
+    return DirectoryChange::Restarted;
+  }
+  known.Entry = std::move(entry);
+  return leftNow ? DirectoryChange::Leaving : DirectoryChange::Changed;
+}
+
+DirectoryChange BackendDirectory::remove(std::string_view id, absl::Time now) {
+  const auto found = Servers.find(id);
+  if (found == Servers.end())
+    return DirectoryChange::None;
+  const bool isAroundOutage = IsListLost || now < ListBackAt + RelistBound;
+  if (isAroundOutage && !found->second->Entry.Leaving) {
+    found->second->GoneAt =
+        IsListLost ? now + RelistBound : ListBackAt + RelistBound;
+    return DirectoryChange::Changed;
+  }
+  found->second->GoneAt = now;
+  Servers.erase(found);
+  rank();
+  return DirectoryChange::Gone;
+}
+
+void BackendDirectory::replace(std::vector<BackendEntry> entries,
+                               absl::Time now) {
+  absl::flat_hash_set<std::string> listed;
+  for (BackendEntry &it : entries) {
+    listed.insert(it.Id);
+    put(std::move(it), now);
+  }
+  std::vector<std::string> missing;
+  for (const auto &[id, server] : Servers)
+    if (!listed.contains(id) && server->GoneAt == absl::InfiniteFuture())
+      missing.push_back(id);
+  for (const std::string &id : missing)
+    remove(id, now);
+}
+
+void BackendDirectory::listLost(absl::Time /*now*/) { IsListLost = true; }
+
+void BackendDirectory::listBack(absl::Time now) {
+  if (!IsListLost)
+    return;
+  IsListLost = false;
+  ListBackAt = now;
+}
+
+bool BackendDirectory::markLeaving(std::string_view id) {
+  const auto found = Servers.find(id);
+  if (found == Servers.end() || found->second->SeenLeaving ||
+      found->second->Entry.Leaving)
+    return false;
+  found->second->SeenLeaving = true;
+  return true;
+}
+
+void BackendDirectory::forget(std::string_view id) {
+  const auto found = Servers.find(id);
+  if (found == Servers.end())
+    return;
+  found->second->SeenLeaving = true;
+}
+
+std::vector<std::shared_ptr<BackendServer>>
+BackendDirectory::usable(std::string_view service, absl::Time now) const {
+  std::vector<std::shared_ptr<BackendServer>> result;
+  const auto found = ByService.find(service);
+  if (found == ByService.end())
+    return result;
+  for (const std::shared_ptr<BackendServer> &it : found->second)
+    if (it->takesWork(now))
+      result.push_back(it);
+  return result;
+}
+
+std::shared_ptr<BackendServer>
+BackendDirectory::find(std::string_view id) const {
+  const auto found = Servers.find(id);
+  return found == Servers.end() ? nullptr : found->second;
+}
+
+std::shared_ptr<BackendServer>
+BackendDirectory::findByHash(uint64_t hash) const {
+  const auto found = ByHash.find(hash);
+  return found == ByHash.end() ? nullptr : found->second;
+}
+
+std::vector<std::string> BackendDirectory::leaving() const {
+  std::vector<std::string> result;
+  for (const auto &[id, server] : Servers)
+    if (server->Entry.Leaving || server->SeenLeaving)
+      result.push_back(id);
+  return result;
+}
+
+void BackendDirectory::rank() {
+  ByHash.clear();
+  ByService.clear();
+  for (const auto &[id, server] : Servers) {
+    ByHash.emplace(hashOf(id), server);
+    ByService[server->Entry.Service].push_back(server);
+  }
+  for (auto &[service, servers] : ByService) {
+    std::sort(servers.begin(), servers.end(),
+              [](const auto &left, const auto &right) {
+                return hashOf(left->Entry.Id) < hashOf(right->Entry.Id);
+              });
+    for (size_t n = 0; n < servers.size(); ++n)
+      servers[n]->Rank =
+          static_cast<double>(n) / static_cast<double>(servers.size());
+  }
+}
+
+} // namespace orioletally::core::fleet
--- /dev/null
+++ b/core/fleet/backend_directory.h
@@ -0,0 +1,107 @@
+#ifndef ORIOLETALLY_CORE_FLEET_BACKEND_DIRECTORY_H
+#define ORIOLETALLY_CORE_FLEET_BACKEND_DIRECTORY_H
+
+#include "core/engines/engine_load.h"
+#include "core/fleet/backend_entry.h"
+#include "core/fleet/backend_health.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/time/time.h>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace orioletally::core::fleet {
+
+/// One backend server as this node knows it.
+struct BackendServer {
+  BackendEntry Entry;
+  BackendHealth Health;
+  /// What all nodes have sent to it, for engines.
+  engines::EngineLoad Load;
+  /// Calls of this node that are in progress there.
+  int64_t InFlight = 0;
+  /// Position in the order that all nodes share, 0 to 1.
+  double Rank = 0;
+  /// Set by a peer or by the backend server itself before the list says so.
+  bool SeenLeaving = false;
+  /// When an entry that vanished around an outage of the list stops counting;
+  /// in the future for all others.
+  absl::Time GoneAt = absl::InfiniteFuture();
+
+  bool takesWork(absl::Time now) const {
+    return !Entry.Leaving && !SeenLeaving && now < GoneAt;
+  }
+};
+
+/// What a change of the list did.
+enum class DirectoryChange { None, Added, Changed, Restarted, Leaving, Gone };
+
+/// Returns the name of \p change in logs.
+std::string_view directoryChangeName(DirectoryChange change);
+
+/// The backend servers that this node knows, kept up to date from the
+/// platform's list.
+///
+/// Load answered: an outage of the list in which the entries of live backend
+/// servers expire. Those that vanish around it are used until the list has
+/// had the time to hear from them again.
+class BackendDirectory {
+public:
+  /// Takes in an entry that is newer than the one known.
+  DirectoryChange put(BackendEntry entry, absl::Time now);
+
+  /// The entry \p id is no longer in the list.
+  DirectoryChange remove(std::string_view id, absl::Time now);
+
+  /// Replaces the whole list, as read at one moment.
+  void replace(std::vector<BackendEntry> entries, absl::Time now);
+
+  /// The list can't be reached, or answered again for the first time.
+  void listLost(absl::Time now);
+  void listBack(absl::Time now);
+
+  /// A peer or the backend server itself says that \p id takes no new work.
+  /// Returns whether that was news.
+  bool markLeaving(std::string_view id);
+
+  /// The address of \p id answers under another name: it can't be used again.
+  void forget(std::string_view id);
+
+  /// Returns the backend servers of \p service that may get new work.
+  std::vector<std::shared_ptr<BackendServer>> usable(std::string_view service,
+                                                     absl::Time now) const;
+
+  /// Returns the backend server called \p id; null when it isn't known.
+  std::shared_ptr<BackendServer> find(std::string_view id) const;
+
+  /// Returns the backend server with this \p hash of its id; null if none.
+  std::shared_ptr<BackendServer> findByHash(uint64_t hash) const;
+
+  /// Ids of those that are known to be leaving while still listed.
+  std::vector<std::string> leaving() const;
+
+  size_t size() const { return Servers.size(); }
+
+  /// Hash that names \p id in messages between nodes.
+  static uint64_t hashOf(std::string_view id);
+
+private:
+  void rank();
+
+  /// Ordered by id, so that ranks are the same everywhere.
+  std::map<std::string, std::shared_ptr<BackendServer>, std::less<>> Servers;
+  absl::flat_hash_map<uint64_t, std::shared_ptr<BackendServer>> ByHash;
+  std::map<std::string, std::vector<std::shared_ptr<BackendServer>>,
+           std::less<>>
+      ByService;
+  bool IsListLost = false;
+  absl::Time ListBackAt = absl::InfinitePast();
+};
+
+} // namespace orioletally::core::fleet
+
+#endif
--- /dev/null
+++ b/core/fleet/backend_health.h
@@ -0,0 +1,57 @@
+#ifndef ORIOLETALLY_CORE_FLEET_BACKEND_HEALTH_H
+#define ORIOLETALLY_CORE_FLEET_BACKEND_HEALTH_H
+
+#include <absl/time/time.h>
+
+namespace orioletally::core::fleet {
+
+/// What one exchange says of a backend server's health.
+enum class HealthSign {
+  /// A whole answer.
+  Good,
+  /// It answered with a failure of its own.
+  Failed,
+  /// It said that it is full.
+  Full,
+  /// No connection, a broken one, or silence.
+  Lost,
+};
+
+/// The health of one backend server, judged from the calls sent to it alone:
+/// answers to health probes can be wrong either way and aren't free.
+///
+/// Load answered: engines that stop, turn slow or fail a share of their
+/// requests while they look idle, and so would attract all new work.
+class BackendHealth {
+public:
+  void observe(HealthSign sign, absl::Time now);
+
+  /// First token or answer came after \p seen where \p predicted was expected.
+  void observePace(absl::Duration seen, absl::Duration predicted);
+
+  /// Whether new work may be sent: always, but for the time after a loss.
+  /// After that time one call at a time is let through until one succeeds.
+  bool isOpen(absl::Time now) const;
+
+  /// A call is about to be sent; after a loss it is the trial.
+  void sent(absl::Time now);
+
+  /// Share of recent calls that failed, 0 to 1.
+  double failureShare() const { return FailureShare; }
+
+  /// Seen time over predicted time, 1 or more.
+  double pace() const { return Pace; }
+
+  /// When a closed backend server is tried again.
+  absl::Time closedUntil() const { return ClosedUntil; }
+
+private:
+  double FailureShare = 0;
+  double Pace = 1;
+  int LossesInARow = 0;
+  absl::Time ClosedUntil = absl::InfinitePast();
+};
+
+} // namespace orioletally::core::fleet
+
+#endif
--- /dev/null
+++ b/core/platform/fleet_source.cpp
@@ -0,0 +1,16 @@
+#include "core/platform/fleet_source.h"
+
+#include <array>
+
+namespace orioletally::core::platform {
+
+namespace {
+constexpr std::array<std::string_view, 3> TopicNames = {"config", "backends",
+                                                        "nodes"};
+} // namespace
+
+std::string_view fleetTopicName(FleetTopic topic) {
+  return TopicNames[static_cast<size_t>(topic)];
+}
+
+} // namespace orioletally::core::platform
--- /dev/null
+++ b/core/platform/fleet_source.h
@@ -0,0 +1,78 @@
+#ifndef ORIOLETALLY_CORE_PLATFORM_FLEET_SOURCE_H
+#define ORIOLETALLY_CORE_PLATFORM_FLEET_SOURCE_H
+
+#include "core/fleet/backend_entry.h"
+#include "core/routes/routing_config.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace orioletally::core::platform {
+
+/// What a FleetSource keeps its listener informed of.
+enum class FleetTopic { Config, Backends, Nodes };
+
+/// Returns the name of \p topic in logs and metrics.
+std::string_view fleetTopicName(FleetTopic topic);
+
+/// Another node of the fleet, as it registered itself.
+struct NodeEntry {
+  std::string Name;
+  /// "ip:port" that other nodes reach it under.
+  std::string PeerAddress;
+  uint64_t Incarnation = 0;
+};
+
+/// Hears what the platform knows of the fleet. All calls come from one thread.
+class FleetListener {
+public:
+  virtual ~FleetListener() = default;
+
+  /// A readable configuration; versions may come twice, never out of order.
+  virtual void
+  configRead(std::shared_ptr<const routes::RoutingConfig> config) = 0;
+
+  /// All backend servers, as of one moment.
+  virtual void backendsRead(std::vector<fleet::BackendEntry> entries) = 0;
+  virtual void backendChanged(fleet::BackendEntry entry) = 0;
+  virtual void backendRemoved(const std::string &id) = 0;
+
+  /// All nodes that have registered themselves, this one included.
+  virtual void nodesRead(const std::vector<NodeEntry> &nodes) = 0;
+
+  /// \p topic can't be followed, because of \p reason; called for each failed
+  /// call.
+  virtual void topicLost(FleetTopic topic, const std::string &reason) = 0;
+
+  /// \p topic is being followed; called for each answered call.
+  virtual void topicFollowed(FleetTopic topic) = 0;
+
+  /// A row of \p topic can't be read and is left out.
+  virtual void rowRejected(FleetTopic topic, const std::string &key,
+                           const std::string &reason) = 0;
+};
+
+/// Follows what the platform keeps about the fleet, and registers this node.
+/// Every call of an implementation is bounded in time and paced.
+class FleetSource {
+public:
+  virtual ~FleetSource() = default;
+
+  /// Begins to follow; \p listener outlives the source.
+  virtual void start(FleetListener &listener) = 0;
+
+  /// Ends all calls.
+  virtual void stop() = 0;
+
+  /// Reads a configuration that another node passed on; null, after a call of
+  /// rowRejected(), when it can't be read.
+  virtual std::shared_ptr<const routes::RoutingConfig>
+  readConfig(const std::string &text) = 0;
+};
+
+} // namespace orioletally::core::platform
+
+#endif
--- /dev/null
+++ b/core/relay/attempt_policy.cpp
@@ -0,0 +1,99 @@
+#include "core/relay/attempt_policy.h"
+
+#include <array>
+#include <fmt/format.h>
+
+namespace orioletally::core::relay {
+
+namespace {
+
+constexpr std::array<std::string_view, 10> EndNames = {
+    "answered", "failed",  "refused", "wrong_backend", "not_sent",
+    "broken",   "stalled", "garbled", "out_of_time",   "caller_gone"};
+
+/// A retry with less time than this can't end in an answer: it is about one
+/// round trip between availability zones and a short call's work.
+constexpr absl::Duration LeastRetryTime = absl::Milliseconds(40);
+
+bool canMove(const routes::Route &route, AttemptEnd end) {
+  return route.mayRepeat() || !mayHaveRun(end);
+}
+
+} // namespace
+
+std::string_view attemptEndName(AttemptEnd end) {
+  return EndNames[static_cast<size_t>(end)];
+}
+
+bool mayHaveRun(AttemptEnd end) {
+  switch (end) {
+  case AttemptEnd::Refused:
+  case AttemptEnd::WrongBackend:
+  case AttemptEnd::NotSent:
+    return false;
+  default:
+    return true;
+  }
+}
+
+std::optional<fleet::HealthSign> healthSign(AttemptEnd end) {
+  switch (end) {
+  case AttemptEnd::Answered:
+    return fleet::HealthSign::Good;
+  case AttemptEnd::Failed:
+  case AttemptEnd::Garbled:
+    return fleet::HealthSign::Failed;
+  case AttemptEnd::Refused:
+    return fleet::HealthSign::Full;
+  case AttemptEnd::NotSent:
+  case AttemptEnd::Broken:
+  case AttemptEnd::Stalled:
+    return fleet::HealthSign::Lost;
+  default:
+    return std::nullopt;
+  }
+}
+
+NextStep nextStep(const routes::Route &route, const CallProgress &progress,
+                  AttemptEnd end, absl::Time now) {
+  const bool isTimely = now + LeastRetryTime < progress.Deadline;
+  const bool isOver = end == AttemptEnd::OutOfTime ||
+                      end == AttemptEnd::CallerGone ||
+                      end == AttemptEnd::Answered;
+  const bool canRetry = !isOver && isTimely && canMove(route, end) &&
+                        progress.Sent < route.MaxAttempts;
+  if (canRetry)
+    return NextStep::Retry;
+  if (progress.Delivered)
+    return end == AttemptEnd::Answered ? NextStep::PassOn : NextStep::BreakOff;
+  if (end == AttemptEnd::Answered || end == AttemptEnd::Failed)
+    return NextStep::PassOn;
+  return NextStep::GiveUp;
+}
+
+errors::RequestError giveUpError(const CallProgress &progress, AttemptEnd end,
+                                 absl::Duration comeBackIn) {
+  using errors::ErrorCode;
+  using errors::RunState;
+  const std::string rule = fmt::format("attempt {}, last end {}", progress.Sent,
+                                       attemptEndName(end));
+  if (!progress.MayHaveRun) {
+    const ErrorCode code = end == AttemptEnd::NotSent ? ErrorCode::NoBackend
+                                                      : ErrorCode::Overloaded;
+    return errors::RequestErrorBuilder(code,
+                                       "no backend server took the request")
+        .run(RunState::NotRun)
+        .rule(rule)
+        .retryAfterMs(absl::ToInt64Milliseconds(comeBackIn))
+        .build();
+  }
+  const ErrorCode code = end == AttemptEnd::OutOfTime
+                             ? ErrorCode::DeadlineExceeded
+                             : ErrorCode::BackendFailed;
+  return errors::RequestErrorBuilder(code, "the request may have been executed")
+      .run(RunState::Unknown)
+      .rule(rule)
+      .build();
+}
+
+} // namespace orioletally::core::relay
--- /dev/null
+++ b/core/relay/dispatcher.cpp
@@ -0,0 +1,337 @@
+#include "core/relay/dispatcher.h"
+
+#include <absl/random/distributions.h>
+#include <algorithm>
+#include <fmt/format.h>
+#include <utility>
+
+namespace orioletally::core::relay {
+
+namespace {
+
+using errors::ErrorCode;
+using errors::RequestError;
+using fleet::BackendServer;
+
+/// Bits of a load id that count the attempts of one node.
+constexpr int LoadIdBits = 24;
+
+/// Callers leave a stream after the longest of these: a floor, and multiples
+/// of the objectives for the first event and for pauses.
+constexpr absl::Duration LeastPatience = absl::Seconds(2);
+constexpr double PatiencePerObjective = 4;
+constexpr double PatiencePerGap = 8;
+/// Part of a caller's patience that a prediction may use up.
+constexpr double PatienceShare = 0.85;
+
+/// Cost of a call to another availability zone: the way there and back and
+/// the price of its bytes, in time.
+constexpr absl::Duration OtherZoneHandicap = absl::Milliseconds(7);
+/// Cost of a backend server that failed all of its recent calls.
+constexpr absl::Duration FailureHandicap = absl::Seconds(2);
+/// Cost of each call in progress of this node at a plain backend server, in
+/// shares of its slots.
+constexpr absl::Duration BusyHandicap = absl::Milliseconds(60);
+/// Spreads calls over plain backend servers that are equally good.
+constexpr absl::Duration PlainJitter = absl::Milliseconds(4);
+/// When to come back if nothing tells when a backend server will be there.
+constexpr absl::Duration UsualComeBack = absl::Milliseconds(300);
+constexpr absl::Duration LeastComeBack = absl::Milliseconds(50);
+constexpr absl::Duration LongestComeBack = absl::Seconds(3);
+/// Bound on what a caller may announce.
+constexpr int64_t MaxAnswerTokens = 1 << 20;
+
+absl::Duration patience(const CallDemand &demand, absl::Time now) {
+  const routes::Route &route = *demand.Route;
+  const absl::Duration whole =
+      std::max({LeastPatience, PatiencePerObjective * route.Objective,
+                PatiencePerGap * route.GapObjective});
+  return std::min(PatienceShare * whole - (now - demand.ArrivedAt),
+                  demand.Deadline - now);
+}
+
+RequestError noBackend(const std::string &service, absl::Duration comeBackIn) {
+  return errors::RequestErrorBuilder(
+             ErrorCode::NoBackend,
+             fmt::format("service {} has no backend server", service))
+      .rule("backend list")
+      .retryAfterMs(absl::ToInt64Milliseconds(comeBackIn))
+      .build();
+}
+
+RequestError tooBusy(const std::string &service, absl::Duration comeBackIn) {
+  const absl::Duration in =
+      std::clamp(comeBackIn, LeastComeBack, LongestComeBack);
+  return errors::RequestErrorBuilder(
+             ErrorCode::Overloaded,
+             fmt::format("service {} can't answer in time", service))
+      .rule("predicted first token")
+      .retryAfterMs(absl::ToInt64Milliseconds(in))
+      .build();
+}
+
+} // namespace
+
+Dispatcher::Dispatcher(const DispatcherSettings &wanted)
+    : Settings(wanted), NextLoadId(wanted.Incarnation << LoadIdBits) {}
+
+void Dispatcher::arrived(const std::string &service, absl::Time now) {
+  budget(service).arrived(now);
+}
+
+void Dispatcher::setNodes(size_t n) {
+  Nodes = n;
+  for (auto &[service, it] : Budgets)
+    it.setNodes(n);
+}
+
+bool Dispatcher::tryRetry(const std::string &service, absl::Time now) {
+  return budget(service).tryTake(now);
+}
+
+limits::WindowBudget &Dispatcher::budget(const std::string &service) {
+  const auto found = Budgets.find(service);
+  if (found != Budgets.end())
+    return found->second;
+  limits::WindowBudget fresh(Settings.Retries);
+  fresh.setNodes(Nodes);
+  return Budgets.emplace(service, std::move(fresh)).first->second;
+}
+
+std::variant<Dispatch, RequestError>
+Dispatcher::choose(const CallDemand &demand, absl::Time now) {
+  const std::string &name = pickService(demand, now);
+  const routes::Service *service = demand.Config->service(name);
+  if (service != nullptr && service->Engine.has_value())
+    return chooseEngine(demand, *service, now);
+  return choosePlain(demand, name, now);
+}
+
+const std::string &Dispatcher::pickService(const CallDemand &demand,
+                                           absl::Time now) {
+  const std::vector<routes::RouteTarget> &targets = demand.Route->Targets;
+  double total = 0;
+  std::vector<const routes::RouteTarget *> alive;
+  for (const routes::RouteTarget &it : targets) {
+    if (it.Weight <= 0 || Directory.usable(it.Service, now).empty())
+      continue;
+    alive.push_back(&it);
+    total += it.Weight;
+  }
+  if (alive.size() < 2)
+    return alive.empty() ? targets.front().Service : alive.front()->Service;
+  double left = absl::Uniform(Random, 0.0, total);
+  for (const routes::RouteTarget *it : alive) {
+    left -= it->Weight;
+    if (left < 0)
+      return it->Service;
+  }
+  return alive.back()->Service;
+}
+
+std::vector<std::shared_ptr<BackendServer>>
+Dispatcher::candidates(const CallDemand &demand, const std::string &service,
+                       absl::Time now) const {
+  std::vector<std::shared_ptr<BackendServer>> all =
+      Directory.usable(service, now);
+  std::vector<std::shared_ptr<BackendServer>> result;
+  for (const std::shared_ptr<BackendServer> &it : all) {
+    const bool isTried = std::find(demand.Tried.begin(), demand.Tried.end(),
+                                   it->Entry.Id) != demand.Tried.end();
+    if (!isTried && it->Health.isOpen(now))
+      result.push_back(it);
+  }
+  if (!result.empty())
+    return result;
+  // All are closed: the one whose trial comes first is the best guess.
+  std::erase_if(all, [&](const std::shared_ptr<BackendServer> &it) {
+    return std::find(demand.Tried.begin(), demand.Tried.end(), it->Entry.Id) !=
+           demand.Tried.end();
+  });
+  const auto first = std::min_element(
+      all.begin(), all.end(), [](const auto &left, const auto &right) {
+        return left->Health.closedUntil() < right->Health.closedUntil();
+      });
+  if (first != all.end())
+    result.push_back(*first);
+  return result;
+}
+
+std::variant<Dispatch, RequestError>
+Dispatcher::chooseEngine(const CallDemand &demand,
+                         const routes::Service &service, absl::Time now) {
+  const engines::EngineSpeed &speed = *service.Engine;
+  const std::vector<std::shared_ptr<BackendServer>> open =
+      candidates(demand, service.Name, now);
+  if (open.empty())
+    return noBackend(service.Name, UsualComeBack);
+  std::vector<engines::EngineCandidate> engineViews;
+  for (const std::shared_ptr<BackendServer> &it : open) {
+    it->Load.advance(now, speed);
+    absl::Duration handicap = it->Health.failureShare() * FailureHandicap;
+    if (it->Entry.Zone != Settings.Zone)
+      handicap += OtherZoneHandicap;
+    engineViews.push_back({&it->Load, it->Rank, it->Health.pace(), handicap});
+  }
+  engines::PromptDemand prompt;
+  prompt.PromptTokens = demand.PromptTokens;
+  prompt.AnswerTokens = std::min(
+      demand.AnswerTokens > 0 ? demand.AnswerTokens : speed.UsualAnswerTokens,
+      MaxAnswerTokens);
+  prompt.Objective = demand.Route->Objective - (now - demand.ArrivedAt);
+  prompt.Patience = patience(demand, now);
+  const engines::PlacementResult placed =
+      engines::placePrompt(prompt, engineViews, speed, Random);
+  if (!placed.Choice.has_value())
+    return tooBusy(service.Name, placed.Refusal.ComeBackIn);
+  Dispatch result;
+  result.Server = open[placed.Choice->Engine];
+  for (const size_t n : placed.Choice->Helpers)
+    result.Helpers.push_back(open[n]);
+  result.PredictedFirstToken = placed.Choice->PredictedFirstToken;
+  result.Speed = &speed;
+  result.Config = demand.Config;
+  result.PromptTokens = prompt.PromptTokens;
+  result.AnswerTokens = prompt.AnswerTokens;
+  return result;
+}
+
+std::variant<Dispatch, RequestError>
+Dispatcher::choosePlain(const CallDemand &demand, const std::string &service,
+                        absl::Time now) {
+  const std::vector<std::shared_ptr<BackendServer>> open =
+      candidates(demand, service, now);
+  const std::shared_ptr<BackendServer> *best = nullptr;
+  absl::Duration bestCost = absl::InfiniteDuration();
+  for (const std::shared_ptr<BackendServer> &it : open) {
+    const double busy =
+        static_cast<double>(it->InFlight) /
+        static_cast<double>(std::max<int64_t>(1, it->Entry.Slots));
+    absl::Duration cost = it->Health.failureShare() * FailureHandicap +
+                          busy * BusyHandicap +
+                          absl::Uniform(Random, 0.0, 1.0) * PlainJitter;
+    if (it->Entry.Zone != Settings.Zone)
+      cost += OtherZoneHandicap;
+    if (cost >= bestCost)
+      continue;
+    bestCost = cost;
+    best = &it;
+  }
+  if (best == nullptr)
+    return noBackend(service, UsualComeBack);
+  Dispatch result;
+  result.Server = *best;
+  result.Config = demand.Config;
+  return result;
+}
+
+int64_t Dispatcher::partTokens(const Dispatch &dispatch) const {
+  const auto parts = static_cast<int64_t>(dispatch.Helpers.size()) + 1;
+  return (dispatch.PromptTokens + parts - 1) / parts;
+}
+
+void Dispatcher::tellPart(const Dispatch &dispatch, const BackendServer &server,
+                          NewsKind kind, int64_t readTokens,
+                          int64_t answerTokens) {
+  if (!Tell)
+    return;
+  PromptNews news;
+  news.Kind = kind;
+  news.EngineHash = fleet::BackendDirectory::hashOf(server.Entry.Id);
+  news.LoadId = dispatch.LoadId;
+  news.ReadTokens = readTokens;
+  news.PromptTokens = dispatch.PromptTokens;
+  news.AnswerTokens = answerTokens;
+  Tell(news);
+}
+
+void Dispatcher::sent(Dispatch &dispatch, absl::Time now) {
+  dispatch.LoadId = ++NextLoadId;
+  dispatch.SentAt = now;
+  ++dispatch.Server->InFlight;
+  dispatch.Server->Health.sent(now);
+  if (dispatch.Speed == nullptr)
+    return;
+  const int64_t part = partTokens(dispatch);
+  engines::RunningPrompt prompt;
+  prompt.Id = dispatch.LoadId;
+  prompt.ReadTokens = part;
+  prompt.PromptTokens = dispatch.PromptTokens;
+  prompt.AnswerTokens = dispatch.AnswerTokens;
+  prompt.StartedAt = now;
+  dispatch.Server->Load.add(prompt, now, *dispatch.Speed);
+  tellPart(dispatch, *dispatch.Server, NewsKind::Sent, part,
+           dispatch.AnswerTokens);
+  prompt.AnswerTokens = 0;
+  for (const std::shared_ptr<BackendServer> &it : dispatch.Helpers) {
+    it->Load.add(prompt, now, *dispatch.Speed);
+    tellPart(dispatch, *it, NewsKind::Sent, part, 0);
+  }
+}
+
+void Dispatcher::firstToken(Dispatch &dispatch, absl::Time now) {
+  if (dispatch.Speed == nullptr || dispatch.IsFirstTokenSeen)
+    return;
+  dispatch.IsFirstTokenSeen = true;
+  dispatch.Server->Load.firstToken(dispatch.LoadId, now, *dispatch.Speed);
+  dispatch.Server->Health.observePace(now - dispatch.SentAt,
+                                      dispatch.PredictedFirstToken);
+  tellPart(dispatch, *dispatch.Server, NewsKind::FirstToken, 0, 0);
+  for (const std::shared_ptr<BackendServer> &it : dispatch.Helpers) {
+    it->Load.remove(dispatch.LoadId, now, *dispatch.Speed);
+    tellPart(dispatch, *it, NewsKind::Ended, 0, 0);
+  }
+}
+
+void Dispatcher::ended(Dispatch &dispatch, AttemptEnd end, absl::Time now) {
+  --dispatch.Server->InFlight;
+  const std::optional<fleet::HealthSign> sign = healthSign(end);
+  if (sign.has_value())
+    dispatch.Server->Health.observe(*sign, now);
+  if (dispatch.Speed == nullptr)
+    return;
+  dispatch.Server->Load.remove(dispatch.LoadId, now, *dispatch.Speed);
+  tellPart(dispatch, *dispatch.Server, NewsKind::Ended, 0, 0);
+  if (dispatch.IsFirstTokenSeen)
+    return;
+  for (const std::shared_ptr<BackendServer> &it : dispatch.Helpers) {
+    it->Load.remove(dispatch.LoadId, now, *dispatch.Speed);
+    tellPart(dispatch, *it, NewsKind::Ended, 0, 0);
+  }
+}
+
+void Dispatcher::reportLost(const std::string &id, absl::Time now) {
+  if (const std::shared_ptr<BackendServer> server = Directory.find(id))
+    server->Health.observe(fleet::HealthSign::Lost, now);
+}
+
+void Dispatcher::takeNews(const PromptNews &news, absl::Time now) {
+  const std::shared_ptr<BackendServer> server =
+      Directory.findByHash(news.EngineHash);
+  if (server == nullptr || Config == nullptr)
+    return;
+  const routes::Service *service = Config->service(server->Entry.Service);
+  if (service == nullptr || !service->Engine.has_value())
+    return;
+  const engines::EngineSpeed &speed = *service->Engine;
+  switch (news.Kind) {
+  case NewsKind::Sent: {
+    engines::RunningPrompt prompt;
+    prompt.Id = news.LoadId;
+    prompt.ReadTokens = news.ReadTokens;
+    prompt.PromptTokens = news.PromptTokens;
+    prompt.AnswerTokens = news.AnswerTokens;
+    prompt.StartedAt = now;
+    server->Load.add(prompt, now, speed);
+    return;
+  }
+  case NewsKind::FirstToken:
+    server->Load.firstToken(news.LoadId, now, speed);
+    return;
+  case NewsKind::Ended:
+    server->Load.remove(news.LoadId, now, speed);
+    return;
+  }
+}
+
+} // namespace orioletally::core::relay
--- /dev/null
+++ b/core/relay/dispatcher.h
@@ -0,0 +1,142 @@
+#ifndef ORIOLETALLY_CORE_RELAY_DISPATCHER_H
+#define ORIOLETALLY_CORE_RELAY_DISPATCHER_H
+
+#include "core/engines/engine_placement.h"
+#include "core/errors/request_error.h"
+#include "core/fleet/backend_directory.h"
+#include "core/limits/window_budget.h"
+#include "core/relay/attempt_policy.h"
+#include "core/relay/load_news.h"
+#include "core/routes/routing_config.h"
+
+#include <absl/random/random.h>
+#include <absl/time/time.h>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace orioletally::core::relay {
+
+/// A call that needs a backend server.
+struct CallDemand {
+  const routes::Route *Route = nullptr;
+  std::shared_ptr<const routes::RoutingConfig> Config;
+  int64_t PromptTokens = 0;
+  int64_t AnswerTokens = 0;
+  absl::Time ArrivedAt;
+  absl::Time Deadline;
+  /// Ids of the backend servers that it was sent to.
+  std::vector<std::string> Tried;
+};
+
+/// A backend server chosen for an attempt, with the engines that help it.
+struct Dispatch {
+  std::shared_ptr<fleet::BackendServer> Server;
+  std::vector<std::shared_ptr<fleet::BackendServer>> Helpers;
+  /// Names the attempt in messages between nodes.
+  uint64_t LoadId = 0;
+  /// Zero when the service's backend servers aren't engines.
+  absl::Duration PredictedFirstToken;
+  absl::Time SentAt;
+  /// Speed of the engine; null for plain services. Lives as long as Config.
+  const engines::EngineSpeed *Speed = nullptr;
+  std::shared_ptr<const routes::RoutingConfig> Config;
+  /// Tokens of the prompt and of the expected answer.
+  int64_t PromptTokens = 0;
+  int64_t AnswerTokens = 0;
+  bool IsFirstTokenSeen = false;
+};
+
+/// Parameters of a Dispatcher.
+struct DispatcherSettings {
+  std::string Zone;
+  /// Distinguishes the load ids of this node from others'.
+  uint64_t Incarnation = 0;
+  limits::WindowBudgetSettings Retries;
+  uint64_t Seed = 0;
+};
+
+/// Decides where each attempt of each call goes. Owns what the node believes
+/// of the backend servers and their load; takes in what other nodes say.
+class Dispatcher {
+public:
+  using News = std::function<void(const PromptNews &)>;
+
+  explicit Dispatcher(const DispatcherSettings &wanted);
+
+  /// Sets what is told to other nodes of each attempt.
+  void setNews(News handler) { Tell = std::move(handler); }
+
+  fleet::BackendDirectory &directory() { return Directory; }
+
+  /// Sets the configuration in force.
+  void setConfig(std::shared_ptr<const routes::RoutingConfig> config) {
+    Config = std::move(config);
+  }
+
+  /// The configuration in force; null before the first one is known.
+  const std::shared_ptr<const routes::RoutingConfig> &config() const {
+    return Config;
+  }
+
+  /// A call came in for \p service.
+  void arrived(const std::string &service, absl::Time now);
+
+  /// How many nodes share the budget of retries.
+  void setNodes(size_t n);
+
+  /// Takes one retry for \p service from the budget.
+  bool tryRetry(const std::string &service, absl::Time now);
+
+  /// Chooses a backend server, or says why there is none.
+  std::variant<Dispatch, errors::RequestError> choose(const CallDemand &demand,
+                                                      absl::Time now);
+
+  /// The attempt is about to be written.
+  void sent(Dispatch &dispatch, absl::Time now);
+
+  /// The first event of the answer has come.
+  void firstToken(Dispatch &dispatch, absl::Time now);
+
+  /// The attempt is over.
+  void ended(Dispatch &dispatch, AttemptEnd end, absl::Time now);
+
+  /// A backend server blames another, \p id, for a failure.
+  void reportLost(const std::string &id, absl::Time now);
+
+  /// Takes in what another node says of an attempt of its own.
+  void takeNews(const PromptNews &news, absl::Time now);
+
+private:
+  std::variant<Dispatch, errors::RequestError>
+  chooseEngine(const CallDemand &demand, const routes::Service &service,
+               absl::Time now);
+  std::variant<Dispatch, errors::RequestError>
+  choosePlain(const CallDemand &demand, const std::string &service,
+              absl::Time now);
+  std::vector<std::shared_ptr<fleet::BackendServer>>
+  candidates(const CallDemand &demand, const std::string &service,
+             absl::Time now) const;
+  const std::string &pickService(const CallDemand &demand, absl::Time now);
+  limits::WindowBudget &budget(const std::string &service);
+  void tellPart(const Dispatch &dispatch, const fleet::BackendServer &server,
+                NewsKind kind, int64_t readTokens, int64_t answerTokens);
+  int64_t partTokens(const Dispatch &dispatch) const;
+
+  DispatcherSettings Settings;
+  fleet::BackendDirectory Directory;
+  std::shared_ptr<const routes::RoutingConfig> Config;
+  std::map<std::string, limits::WindowBudget, std::less<>> Budgets;
+  size_t Nodes = 1;
+  absl::BitGen Random;
+  uint64_t NextLoadId;
+  News Tell;
+};
+
+} // namespace orioletally::core::relay
+
+#endif
--- /dev/null
+++ b/core/relay/load_news.h
@@ -0,0 +1,27 @@
+#ifndef ORIOLETALLY_CORE_RELAY_LOAD_NEWS_H
+#define ORIOLETALLY_CORE_RELAY_LOAD_NEWS_H
+
+#include <cstdint>
+
+namespace orioletally::core::relay {
+
+/// What happened to a prompt at one engine.
+enum class NewsKind { Sent, FirstToken, Ended };
+
+/// What a node tells the others about an attempt, so that all of them place
+/// prompts by one view of the engines' load.
+struct PromptNews {
+  NewsKind Kind = NewsKind::Sent;
+  /// BackendDirectory::hashOf of the engine's id.
+  uint64_t EngineHash = 0;
+  uint64_t LoadId = 0;
+  /// Tokens that the engine reads; with PromptTokens and AnswerTokens only
+  /// told with Sent.
+  int64_t ReadTokens = 0;
+  int64_t PromptTokens = 0;
+  int64_t AnswerTokens = 0;
+};
+
+} // namespace orioletally::core::relay
+
+#endif
--- /dev/null
+++ b/core/relay/silence_bound.cpp
@@ -0,0 +1,38 @@
+#include "core/relay/silence_bound.h"
+
+#include <algorithm>
+
+namespace orioletally::core::relay {
+
+namespace {
+
+/// Predictions were seen to be wrong by this factor while engines are busy.
+constexpr double PredictionFactor = 2;
+/// Two passes of a full engine with a chunk of a prompt in each.
+constexpr absl::Duration PredictionSlack = absl::Milliseconds(600);
+/// A plain answer that takes longer than this share of its objective is late
+/// anyhow if it is moved after it.
+constexpr double PlainShare = 1.5;
+constexpr absl::Duration LeastPlainBound = absl::Milliseconds(250);
+/// Callers leave after eight times the objective for pauses.
+constexpr double GapFactor = 4;
+constexpr absl::Duration LeastGapBound = absl::Milliseconds(800);
+
+} // namespace
+
+absl::Duration firstByteBound(const routes::Route &route,
+                              absl::Duration predicted) {
+  if (!route.mayRepeat())
+    return absl::InfiniteDuration();
+  if (route.Kind == routes::RouteKind::Streaming)
+    return PredictionFactor * predicted + PredictionSlack;
+  return std::max(LeastPlainBound, PlainShare * route.Objective);
+}
+
+absl::Duration gapBound(const routes::Route &route) {
+  if (!route.mayRepeat())
+    return absl::InfiniteDuration();
+  return std::max(LeastGapBound, GapFactor * route.GapObjective);
+}
+
+} // namespace orioletally::core::relay
--- /dev/null
+++ b/core/relay/silence_bound.h
@@ -0,0 +1,24 @@
+#ifndef ORIOLETALLY_CORE_RELAY_SILENCE_BOUND_H
+#define ORIOLETALLY_CORE_RELAY_SILENCE_BOUND_H
+
+#include "core/routes/routing_config.h"
+
+#include <absl/time/time.h>
+
+namespace orioletally::core::relay {
+
+/// How long nothing may come before an attempt at a call of \p route counts
+/// as stalled and the call is moved, if it may be. \p predicted is the
+/// predicted time to the first event, zero for plain services.
+///
+/// Load answered: connections that went silent for good and engines that
+/// stopped, against engines that are merely behind their prediction.
+absl::Duration firstByteBound(const routes::Route &route,
+                              absl::Duration predicted);
+
+/// The same for the time between two events of a stream.
+absl::Duration gapBound(const routes::Route &route);
+
+} // namespace orioletally::core::relay
+
+#endif
--- /dev/null
+++ b/core/routes/routing_config.cpp
@@ -0,0 +1,101 @@
+#include "core/routes/routing_config.h"
+
+#include <absl/strings/ascii.h>
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace orioletally::core::routes {
+
+namespace {
+
+constexpr std::array<std::string_view, 3> KindNames = {
+    "idempotent", "non_idempotent", "streaming"};
+
+/// Host names in calls may carry a port and are compared without case.
+std::string plainHost(std::string_view host) {
+  const size_t colon = host.rfind(':');
+  std::string result(host.substr(0, colon));
+  absl::AsciiStrToLower(&result);
+  return result;
+}
+
+} // namespace
+
+std::string_view routeKindName(RouteKind kind) {
+  return KindNames[static_cast<size_t>(kind)];
+}
+
+const Route *RoutingConfig::match(std::string_view host,
+                                  std::string_view target) const {
+  const auto found = ByHost.find(plainHost(host));
+  if (found == ByHost.end())
+    return nullptr;
+  const std::string_view path = target.substr(0, target.find('?'));
+  for (const size_t n : found->second)
+    if (path.starts_with(Routes[n].Prefix))
+      return &Routes[n];
+  return nullptr;
+}
+
+const std::string *RoutingConfig::workspace(std::string_view key) const {
+  const auto found = WorkspaceByKey.find(key);
+  return found == WorkspaceByKey.end() ? nullptr : &found->second;
+}
+
+const Service *RoutingConfig::service(std::string_view name) const {
+  const auto found = Services.find(name);
+  return found == Services.end() ? nullptr : &found->second;
+}
+
+RoutingConfigBuilder &RoutingConfigBuilder::version(uint64_t n) {
+  Config->Version = n;
+  return *this;
+}
+
+RoutingConfigBuilder &RoutingConfigBuilder::source(std::string_view text) {
+  Config->Source = text;
+  return *this;
+}
+
+RoutingConfigBuilder &RoutingConfigBuilder::limits(const CallerLimits &limits) {
+  Config->Limits = limits;
+  return *this;
+}
+
+RoutingConfigBuilder &RoutingConfigBuilder::route(Route route) {
+  route.Host = plainHost(route.Host);
+  Config->Routes.push_back(std::move(route));
+  return *this;
+}
+
+RoutingConfigBuilder &RoutingConfigBuilder::service(Service service) {
+  std::string name = service.Name;
+  Config->Services.insert_or_assign(std::move(name), std::move(service));
+  return *this;
+}
+
+RoutingConfigBuilder &RoutingConfigBuilder::key(const std::string &key,
+                                                const std::string &workspace) {
+  Config->WorkspaceByKey.insert_or_assign(key, workspace);
+  return *this;
+}
+
+RoutingConfigBuilder &RoutingConfigBuilder::needsKeys() {
+  Config->NeedsKeys = true;
+  return *this;
+}
+
+std::shared_ptr<const RoutingConfig> RoutingConfigBuilder::build() {
+  for (size_t n = 0; n < Config->Routes.size(); ++n)
+    Config->ByHost[Config->Routes[n].Host].push_back(n);
+  for (auto &[host, indices] : Config->ByHost)
+    std::stable_sort(indices.begin(), indices.end(),
+                     [&](size_t left, size_t right) {
+                       return Config->Routes[left].Prefix.size() >
+                              Config->Routes[right].Prefix.size();
+                     });
+  return std::exchange(Config, nullptr);
+}
+
+} // namespace orioletally::core::routes
--- a/drivers/log/log.cpp
+++ b/drivers/log/log.cpp
@@ -3,9 +3,12 @@
 #include "drivers/clock/clock.h"
 
 #include <absl/time/time.h>
+#include <algorithm>
 #include <array>
-#include <cstdio>
-#include <fmt/format.h>
+#include <atomic>
+#include <mutex>
+#include <poll.h>
+#include <unistd.h>
 #include <utility>
 
 namespace orioletally::drivers::log {
@@ -21,6 +24,41 @@
   Level Least = Level::Info;
 };
 
+/// Lines a second that are written over time, and at once. A node writes three
+/// lines a call; this is ten times its share of the calls.
+constexpr double LinesPerSecond = 400;
+constexpr double LinesAtOnce = 800;
+
+/// Bounds the rate of lines.
+class LineBudget {
+public:
+  bool tryTake(absl::Time now) {
+    const std::lock_guard lock(Guard);
+    const double earned = absl::ToDoubleSeconds(now - Since) * LinesPerSecond;
+    Left = std::min(LinesAtOnce, Left + std::max(0.0, earned));
+    Since = now;
+    if (Left < 1)
+      return false;
+    Left -= 1;
+    return true;
+  }
+
+private:
+  std::mutex Guard;
+  double Left = LinesAtOnce;
+  absl::Time Since = clock::steadyNow();
+};
+
+std::atomic<uint64_t> &dropped() {
+  static std::atomic<uint64_t> count = 0;
+  return count;
+}
+
+bool hasRoom() {
+  pollfd out{STDOUT_FILENO, POLLOUT, 0};
+  return ::poll(&out, 1, 0) == 1 && (out.revents & POLLOUT) != 0;
+}
+
 Identity &identity() {
   static Identity instance;
   return instance;
@@ -46,6 +84,11 @@
 void write(Level level, std::string_view event, const nlohmann::json &fields) {
   if (level < identity().Least)
     return;
+  static LineBudget budget;
+  if (!budget.tryTake(clock::steadyNow())) {
+    ++dropped();
+    return;
+  }
   nlohmann::ordered_json line;
   line["time"] = absl::FormatTime(absl::RFC3339_full, clock::wallNow(),
                                   absl::UTCTimeZone());
@@ -55,8 +98,15 @@
   line["event"] = event;
   for (const auto &[key, value] : fields.items())
     line[key] = value;
+  if (const uint64_t lost = dropped(); lost > 0)
+    line["lines_dropped"] = lost;
   const auto replace = nlohmann::ordered_json::error_handler_t::replace;
-  fmt::print(stderr, "{}\n", line.dump(-1, ' ', false, replace));
+  const std::string text = line.dump(-1, ' ', false, replace) + "\n";
+  // A line is written whole or, if the pipe takes less, ends in the middle.
+  if (!hasRoom() || ::write(STDOUT_FILENO, text.data(), text.size()) < 0)
+    ++dropped();
 }
 
+uint64_t droppedLines() { return dropped(); }
+
 } // namespace orioletally::drivers::log
--- a/drivers/log/log.h
+++ b/drivers/log/log.h
@@ -19,11 +19,15 @@
 /// Sets what every line of this process carries. Call once, before threads.
 void setIdentity(std::string node, uint64_t incarnation, Level least);
 
-/// Writes one JSON line to standard error. \p fields is an object; prompts and
-/// answers never go in.
+/// Writes one JSON line to standard output. \p fields is an object; prompts and
+/// answers never go in. Never blocks: lines beyond the bound on their rate, and
+/// those that the reader has no room for, are dropped and counted.
 void write(Level level, std::string_view event,
            const nlohmann::json &fields = nlohmann::json::object());
 
+/// Lines that were dropped so far.
+uint64_t droppedLines();
+
 } // namespace orioletally::drivers::log
 
 #endif
--- /dev/null
+++ b/drivers/loop/http_caller.cpp
@@ -0,0 +1,99 @@
+#include "drivers/loop/http_caller.h"
+
+#include "drivers/loop/asio_use.h"
+#include "drivers/loop/endpoint.h"
+
+#include <boost/beast/http.hpp>
+#include <utility>
+
+namespace orioletally::drivers::loop {
+
+namespace {
+
+/// Larger answers are refused: a page of the store's rows is at most 1 MB.
+constexpr uint64_t MaxAnswerBytes = 16 << 20;
+
+} // namespace
+
+HttpCall HttpCall::get(std::string target, absl::Duration bound) {
+  HttpCall call;
+  call.Target = std::move(target);
+  call.Bound = bound;
+  return call;
+}
+
+HttpCall HttpCall::post(std::string target, std::string body,
+                        absl::Duration bound) {
+  HttpCall call = get(std::move(target), bound);
+  call.Method = "POST";
+  call.Body = std::move(body);
+  return call;
+}
+
+HttpCaller::HttpCaller(asio::io_context &loop, std::string address)
+    : Loop(loop), Address(std::move(address)) {}
+
+void HttpCaller::close() {
+  if (Stream != nullptr)
+    Stream->close();
+}
+
+asio::awaitable<std::string> HttpCaller::connect(absl::Duration bound) {
+  const auto endpoint = parseEndpoint(Address);
+  if (!endpoint.has_value())
+    co_return "not an ip:port: " + Address;
+  Buffer.clear();
+  Stream = std::make_unique<beast::tcp_stream>(Loop);
+  Stream->expires_after(absl::ToChronoMilliseconds(bound));
+  const auto [ec] = co_await Stream->async_connect(*endpoint, asTuple);
+  if (ec) {
+    Stream.reset();
+    co_return "connect " + Address + ": " + ec.message();
+  }
+  tuneSocket(Stream->socket());
+  co_return "";
+}
+
+asio::awaitable<HttpCallResult> HttpCaller::call(HttpCall wanted) {
+  HttpCallResult result;
+  if (Stream == nullptr) {
+    result.Failure = co_await connect(wanted.Bound);
+    if (!result.Failure.empty())
+      co_return result;
+  }
+  bhttp::request<bhttp::string_body> request(
+      bhttp::string_to_verb(wanted.Method), wanted.Target, 11);
+  request.set(bhttp::field::host, Address);
+  if (!wanted.Body.empty()) {
+    request.set(bhttp::field::content_type, "application/json");
+    request.body() = std::move(wanted.Body);
+  }
+  request.prepare_payload();
+  Stream->expires_after(absl::ToChronoMilliseconds(wanted.Bound));
+  const auto [writeError, written] =
+      co_await bhttp::async_write(*Stream, request, asTuple);
+  Sent += written;
+  result.MayHaveArrived = written > 0;
+  if (writeError) {
+    Stream.reset();
+    result.Failure = "write: " + writeError.message();
+    co_return result;
+  }
+  bhttp::response_parser<bhttp::string_body> parser;
+  parser.body_limit(MaxAnswerBytes);
+  const auto [readError, read] =
+      co_await bhttp::async_read(*Stream, Buffer, parser, asTuple);
+  Received += read;
+  if (readError) {
+    Stream.reset();
+    result.Failure = "read: " + readError.message();
+    co_return result;
+  }
+  result.Status = parser.get().result_int();
+  result.Body = std::move(parser.get().body());
+  if (!parser.get().keep_alive())
+    Stream.reset();
+  co_return result;
+}
+
+} // namespace orioletally::drivers::loop
--- /dev/null
+++ b/drivers/loop/http_caller.h
@@ -0,0 +1,71 @@
+#ifndef ORIOLETALLY_DRIVERS_LOOP_HTTP_CALLER_H
+#define ORIOLETALLY_DRIVERS_LOOP_HTTP_CALLER_H
+
+#include <absl/time/time.h>
+#include <boost/asio/awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace orioletally::drivers::loop {
+
+/// A call to an HTTP server that is spoken to one call at a time.
+struct HttpCall {
+  /// Upper case.
+  std::string Method = "GET";
+  std::string Target;
+  /// JSON; empty for none.
+  std::string Body;
+  absl::Duration Bound = absl::Seconds(1);
+
+  /// Made by functions rather than braces: g++ 12 destroys a braced temporary
+  /// in a co_await expression twice.
+  static HttpCall get(std::string target, absl::Duration bound);
+  static HttpCall post(std::string target, std::string body,
+                       absl::Duration bound);
+};
+
+/// A whole answer, or why there is none.
+struct HttpCallResult {
+  /// 0 when no whole answer came.
+  int Status = 0;
+  std::string Body;
+  /// Set when Status is 0.
+  std::string Failure;
+  /// Whether the call may have been received.
+  bool MayHaveArrived = false;
+};
+
+/// Speaks HTTP/1.1 to one server over one connection that is kept open between
+/// calls. Every call ends within its bound. Runs on the event loop.
+class HttpCaller {
+public:
+  /// \p address is "ip:port".
+  HttpCaller(boost::asio::io_context &loop, std::string address);
+
+  /// Makes one call. Calls of one object must not overlap.
+  boost::asio::awaitable<HttpCallResult> call(HttpCall wanted);
+
+  /// Closes the connection; a call in progress fails.
+  void close();
+
+  uint64_t bytesSent() const { return Sent; }
+  uint64_t bytesReceived() const { return Received; }
+
+private:
+  boost::asio::awaitable<std::string> connect(absl::Duration bound);
+
+  boost::asio::io_context &Loop;
+  std::string Address;
+  std::unique_ptr<boost::beast::tcp_stream> Stream;
+  boost::beast::flat_buffer Buffer;
+  uint64_t Sent = 0;
+  uint64_t Received = 0;
+};
+
+} // namespace orioletally::drivers::loop
+
+#endif
--- /dev/null
+++ b/drivers/metrics/relay_metrics.cpp
@@ -0,0 +1,128 @@
+#include "drivers/metrics/relay_metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace orioletally::drivers::metrics {
+
+namespace {
+
+using prometheus::BuildCounter;
+using prometheus::BuildGauge;
+using prometheus::BuildHistogram;
+using prometheus::Histogram;
+
+/// Seconds; from a plain service's work to the longest time limit.
+const Histogram::BucketBoundaries TimeBuckets = {
+    0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3, 6, 10, 15};
+
+prometheus::Gauge &gauge(prometheus::Registry &registry, const char *name,
+                         const char *help) {
+  return BuildGauge().Name(name).Help(help).Register(registry).Add({});
+}
+
+} // namespace
+
+RelayMetrics::RelayMetrics()
+    : Calls(BuildCounter()
+                .Name("orioletally_calls_total")
+                .Help("Calls that ended, by kind and status.")
+                .Register(Registry)),
+      CallTime(BuildHistogram()
+                   .Name("orioletally_call_seconds")
+                   .Help("From arrival to the end of the answer, by kind.")
+                   .Register(Registry)),
+      FirstEvent(BuildHistogram()
+                     .Name("orioletally_first_event_seconds")
+                     .Help("From arrival to the first event of a stream.")
+                     .Register(Registry)
+                     .Add({}, TimeBuckets)),
+      PredictionError(
+          BuildHistogram()
+              .Name("orioletally_first_event_over_prediction")
+              .Help("Time to the first event over the predicted time.")
+              .Register(Registry)
+              .Add({}, Histogram::BucketBoundaries{0.5, 0.8, 1, 1.2, 1.5, 2, 3,
+                                                   5})),
+      Attempts(BuildCounter()
+                   .Name("orioletally_attempts_total")
+                   .Help("Attempts at backend servers, by how they ended.")
+                   .Register(Registry)),
+      OwnAnswers(BuildCounter()
+                     .Name("orioletally_own_answers_total")
+                     .Help("Calls that this node answered itself, by code.")
+                     .Register(Registry)),
+      Connections(BuildCounter()
+                      .Name("orioletally_backend_connections_total")
+                      .Help("New connections to backend servers.")
+                      .Register(Registry)
+                      .Add({})),
+      StoreCalls(BuildCounter()
+                     .Name("orioletally_store_calls_total")
+                     .Help("Calls to the platform's store, by topic and "
+                           "whether they were answered.")
+                     .Register(Registry)),
+      InProgress(gauge(Registry, "orioletally_calls_in_progress",
+                       "Calls in progress.")),
+      ConfigVersion(gauge(Registry, "orioletally_config_version",
+                          "Version of the configuration in force.")),
+      Backends(gauge(Registry, "orioletally_backends",
+                     "Backend servers that are known.")),
+      Nodes(gauge(Registry, "orioletally_nodes",
+                  "Entry nodes heard from of late, this one included.")),
+      LogLinesDropped(gauge(Registry, "orioletally_log_lines_dropped",
+                            "Log lines that were left out under load.")) {}
+
+void RelayMetrics::callEnded(std::string_view kind, int status,
+                             absl::Duration time) {
+  const std::string name(kind);
+  Calls.Add({{"kind", name}, {"status", std::to_string(status)}}).Increment();
+  CallTime.Add({{"kind", name}}, TimeBuckets)
+      .Observe(absl::ToDoubleSeconds(time));
+}
+
+void RelayMetrics::firstEvent(absl::Duration time, absl::Duration predicted) {
+  FirstEvent.Observe(absl::ToDoubleSeconds(time));
+  if (predicted > absl::ZeroDuration())
+    PredictionError.Observe(absl::FDivDuration(time, predicted));
+}
+
+void RelayMetrics::attemptEnded(std::string_view end) {
+  Attempts.Add({{"end", std::string(end)}}).Increment();
+}
+
+void RelayMetrics::ownAnswer(std::string_view code) {
+  OwnAnswers.Add({{"code", std::string(code)}}).Increment();
+}
+
+void RelayMetrics::connectionOpened() { Connections.Increment(); }
+
+void RelayMetrics::storeCall(std::string_view topic, bool isAnswered) {
+  StoreCalls
+      .Add({{"topic", std::string(topic)},
+            {"answered", isAnswered ? "yes" : "no"}})
+      .Increment();
+}
+
+void RelayMetrics::setInProgress(int64_t n) {
+  InProgress.Set(static_cast<double>(n));
+}
+
+void RelayMetrics::setConfigVersion(uint64_t version) {
+  ConfigVersion.Set(static_cast<double>(version));
+}
+
+void RelayMetrics::setBackends(int64_t n) {
+  Backends.Set(static_cast<double>(n));
+}
+
+void RelayMetrics::setNodes(int64_t n) { Nodes.Set(static_cast<double>(n)); }
+
+void RelayMetrics::setLogLinesDropped(uint64_t n) {
+  LogLinesDropped.Set(static_cast<double>(n));
+}
+
+std::string RelayMetrics::text() {
+  return prometheus::TextSerializer().Serialize(Registry.Collect());
+}
+
+} // namespace orioletally::drivers::metrics
--- /dev/null
+++ b/drivers/metrics/relay_metrics.h
@@ -0,0 +1,58 @@
+#ifndef ORIOLETALLY_DRIVERS_METRICS_RELAY_METRICS_H
+#define ORIOLETALLY_DRIVERS_METRICS_RELAY_METRICS_H
+
+#include <absl/time/time.h>
+#include <memory>
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <string>
+#include <string_view>
+
+namespace orioletally::drivers::metrics {
+
+/// Figures of a node that relays calls between callers and backend servers.
+class RelayMetrics {
+public:
+  RelayMetrics();
+
+  /// A call of \p kind ended with \p status after \p time.
+  void callEnded(std::string_view kind, int status, absl::Duration time);
+  /// The first event of a stream came after \p time; \p predicted was expected.
+  void firstEvent(absl::Duration time, absl::Duration predicted);
+  void attemptEnded(std::string_view end);
+  /// A call was answered by this node itself, with an error of this code.
+  void ownAnswer(std::string_view code);
+  void connectionOpened();
+  void storeCall(std::string_view topic, bool isAnswered);
+  void setInProgress(int64_t n);
+  void setConfigVersion(uint64_t version);
+  void setBackends(int64_t n);
+  void setNodes(int64_t n);
+  void setLogLinesDropped(uint64_t n);
+
+  /// Returns all figures in the Prometheus text format.
+  std::string text();
+
+private:
+  prometheus::Registry Registry;
+  prometheus::Family<prometheus::Counter> &Calls;
+  prometheus::Family<prometheus::Histogram> &CallTime;
+  prometheus::Histogram &FirstEvent;
+  prometheus::Histogram &PredictionError;
+  prometheus::Family<prometheus::Counter> &Attempts;
+  prometheus::Family<prometheus::Counter> &OwnAnswers;
+  prometheus::Counter &Connections;
+  prometheus::Family<prometheus::Counter> &StoreCalls;
+  prometheus::Gauge &InProgress;
+  prometheus::Gauge &ConfigVersion;
+  prometheus::Gauge &Backends;
+  prometheus::Gauge &Nodes;
+  prometheus::Gauge &LogLinesDropped;
+};
+
+} // namespace orioletally::drivers::metrics
+
+#endif
--- /dev/null
+++ b/drivers/relay/backend_channel.h
@@ -0,0 +1,52 @@
+#ifndef ORIOLETALLY_DRIVERS_RELAY_BACKEND_CHANNEL_H
+#define ORIOLETALLY_DRIVERS_RELAY_BACKEND_CHANNEL_H
+
+#include "drivers/loop/asio_use.h"
+
+#include <absl/time/time.h>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace orioletally::drivers::relay {
+
+/// A connection to a backend server, which carries one call at a time.
+struct BackendChannel {
+  explicit BackendChannel(asio::io_context &loop) : Socket(loop) {}
+
+  std::string Address;
+  asio::ip::tcp::socket Socket;
+  beast::flat_buffer Buffer;
+  /// Whether it has carried a call before.
+  bool Reused = false;
+  /// When it is too old to be used again; the other end closes it about then.
+  absl::Time IdleUntil;
+};
+
+/// Connections that wait for their next call.
+class ChannelPool {
+public:
+  /// Returns the connection to \p address that was used last and is still
+  /// open and quiet; null when there is none.
+  std::unique_ptr<BackendChannel> take(const std::string &address,
+                                       absl::Time now);
+
+  /// Takes back a connection after a whole answer. \p keepFor is what the
+  /// other end said of how long it keeps it; zero if it didn't.
+  void give(std::unique_ptr<BackendChannel> channel, absl::Duration keepFor,
+            absl::Time now);
+
+  /// Closes the connections to \p address.
+  void drop(const std::string &address);
+
+  /// Closes what has waited for too long.
+  void closeIdle(absl::Time now);
+
+private:
+  std::map<std::string, std::vector<std::unique_ptr<BackendChannel>>> Waiting;
+};
+
+} // namespace orioletally::drivers::relay
+
+#endif
--- /dev/null
+++ b/drivers/relay/call_runner.cpp
@@ -0,0 +1,604 @@
+#include "drivers/relay/call_runner.h"
+
+#include "core/relay/silence_bound.h"
+#include "drivers/clock/clock.h"
+#include "drivers/log/log.h"
+#include "drivers/loop/endpoint.h"
+#include "drivers/relay/message_parts.h"
+
+#include <algorithm>
+#include <array>
+#include <fmt/format.h>
+#include <utility>
+
+namespace orioletally::drivers::relay {
+
+namespace {
+
+using core::errors::ErrorCode;
+using core::errors::RequestError;
+using core::errors::RunState;
+using core::relay::AttemptEnd;
+using core::relay::Dispatch;
+using core::relay::NextStep;
+using core::routes::RouteKind;
+using loop::asTuple;
+using AnswerParser = bhttp::response_parser<bhttp::buffer_body>;
+
+/// A connection that isn't there after this isn't worth waiting for: about ten
+/// times the longest way between availability zones and back.
+constexpr absl::Duration ConnectBound = absl::Milliseconds(250);
+/// Attempts at which nothing was written; each took up to ConnectBound.
+constexpr int MaxUnsent = 3;
+/// A caller that takes nothing of its answer for this long is gone.
+constexpr absl::Duration CallerWriteBound = absl::Seconds(5);
+/// Bound on answers that are held whole before they are passed on.
+constexpr size_t MaxHeldBytes = 8 << 20;
+constexpr uint32_t MaxAnswerHeaderBytes = 64 << 10;
+constexpr size_t ReadBufferBytes = 8 << 10;
+/// Prompts up to this length go before longer ones at an engine that is full.
+constexpr int64_t ShortPromptTokens = 16384;
+constexpr int64_t ShortPriority = 3;
+constexpr int64_t LongPriority = 5;
+/// When to come back to a node that has no configuration yet or is leaving.
+constexpr int64_t NodeComeBackMs = 200;
+/// When to come back after backend servers turned the call away.
+constexpr absl::Duration RefusedComeBack = absl::Milliseconds(250);
+/// The wait that a backend server is told leaves time for its answer's way.
+constexpr absl::Duration AnswerWay = absl::Milliseconds(5);
+
+bool promisesNotRun(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+} // namespace
+
+CallRunner::CallRunner(RelayContext &wanted, asio::ip::tcp::socket &socket,
+                       CallRequest wantedRequest, absl::Time now)
+    : Context(wanted), Caller(socket), Request(std::move(wantedRequest)),
+      ArrivedAt(now), Watch(wanted.Loop) {
+  ++Context.InProgress;
+  Context.Metrics.setInProgress(Context.InProgress);
+}
+
+CallRunner::~CallRunner() {
+  --Context.InProgress;
+  Context.Metrics.setInProgress(Context.InProgress);
+}
+
+asio::awaitable<bool> CallRunner::run() {
+  KeepCaller = Request.keep_alive() && !Context.isDraining();
+  Head = Context.Codec.decodeCall(headerViews(Request));
+  const bool isAdmitted = admit();
+  // The braces matter: g++ 12 makes a coroutine that traps without them.
+  if (isAdmitted) {
+    co_await attempts();
+  }
+  Watch.cancel();
+  if (Aborted == AttemptEnd::CallerGone)
+    KeepCaller = false;
+  const bool hasHeld = Held.has_value() && !Progress.Delivered &&
+                       Aborted != AttemptEnd::CallerGone;
+  if (hasHeld) {
+    Progress.Deadline = absl::InfiniteFuture();
+    const bool isWritten = co_await writePlain();
+    KeepCaller = KeepCaller && isWritten;
+  }
+  logEnd();
+  co_return KeepCaller;
+}
+
+bool CallRunner::admit() {
+  Config = Context.Calls.config();
+  if (Config == nullptr) {
+    refuse(
+        core::errors::RequestErrorBuilder(ErrorCode::PlatformUnavailable,
+                                          "this node has no configuration yet")
+            .rule("start")
+            .retryAfterMs(NodeComeBackMs)
+            .build());
+    return false;
+  }
+  const std::string_view host = view(Request[bhttp::field::host]);
+  Route = Config->match(host, view(Request.target()));
+  if (Route == nullptr) {
+    refuse(core::errors::refusal(
+        ErrorCode::NotFound,
+        fmt::format("no route for {}{}", host, view(Request.target())),
+        fmt::format("configuration {}", Config->version())));
+    return false;
+  }
+  const std::string *workspace = Config->workspace(Head.Key);
+  if (workspace != nullptr)
+    Workspace = *workspace;
+  if (workspace == nullptr && !Route->Public && Config->needsKeys()) {
+    refuse(core::errors::refusal(
+        ErrorCode::Unauthorized, "the key belongs to no workspace",
+        fmt::format("configuration {}", Config->version())));
+    return false;
+  }
+  Progress.Deadline =
+      ArrivedAt + std::min(Route->Timeout, Head.Wait.value_or(Route->Timeout));
+  Events = core::relay::EventStream(Head.ResumeAfter);
+  refreshDemand();
+  return true;
+}
+
+void CallRunner::refreshDemand() {
+  Demand.Route = Route;
+  Demand.Config = Config;
+  Demand.PromptTokens = Head.PromptTokens;
+  Demand.AnswerTokens =
+      Head.ExpectedAnswerTokens.has_value()
+          ? std::min(*Head.ExpectedAnswerTokens, Head.AnswerTokens)
+          : Head.AnswerTokens;
+  Demand.ArrivedAt = ArrivedAt;
+  Demand.Deadline = Progress.Deadline;
+}
+
+void CallRunner::refuse(const RequestError &error) {
+  OwnCode = core::errors::errorCodeName(error.Code);
+  OwnRule = error.Rule;
+  Held = errorResponse(error, Head.AttemptId, Context.Codec);
+  Context.Metrics.ownAnswer(OwnCode);
+}
+
+asio::awaitable<void> CallRunner::attempts() {
+  int unsent = 0;
+  AttemptEnd last = AttemptEnd::NotSent;
+  for (;;) {
+    absl::Time now = clock::steadyNow();
+    auto chosen = Context.Calls.choose(Demand, now);
+    if (const auto *error = std::get_if<RequestError>(&chosen)) {
+      if (Progress.Delivered)
+        KeepCaller = false;
+      else if (!Held.has_value())
+        refuse(Progress.MayHaveRun
+                   ? core::relay::giveUpError(Progress, last, RefusedComeBack)
+                   : *error);
+      co_return;
+    }
+    Dispatch &dispatch = std::get<Dispatch>(chosen);
+    const std::string service = dispatch.Server->Entry.Service;
+    if (Attempts.empty())
+      Context.Calls.arrived(service, now);
+    last = co_await attempt(dispatch);
+    now = clock::steadyNow();
+    NextStep step = core::relay::nextStep(*Route, Progress, last, now);
+    if (step == NextStep::Retry && last == AttemptEnd::NotSent) {
+      if (++unsent >= MaxUnsent)
+        step = NextStep::GiveUp;
+    } else if (step == NextStep::Retry && !RetryTaken &&
+               !Context.Calls.tryRetry(service, now)) {
+      core::relay::CallProgress spent = Progress;
+      spent.Sent = Route->MaxAttempts;
+      step = core::relay::nextStep(*Route, spent, last, now);
+    }
+    RetryTaken = false;
+    switch (step) {
+    case NextStep::Retry:
+      Events.restart();
+      continue;
+    case NextStep::PassOn:
+      co_return;
+    case NextStep::BreakOff:
+      KeepCaller = false;
+      co_return;
+    case NextStep::GiveUp:
+      if (last == AttemptEnd::CallerGone)
+        KeepCaller = false;
+      else if (!Held.has_value())
+        refuse(core::relay::giveUpError(Progress, last, RefusedComeBack));
+      co_return;
+    }
+  }
+}
+
+asio::awaitable<AttemptEnd> CallRunner::attempt(Dispatch &dispatch) {
+  const absl::Time startedAt = clock::steadyNow();
+  const bool isEngine = dispatch.Speed != nullptr;
+  log::write(log::Level::Info, "dispatch",
+             {{"id", Head.AttemptId},
+              {"backend", dispatch.Server->Entry.Id},
+              {"row_version", dispatch.Server->Entry.RowVersion},
+              {"config", Config->version()},
+              {"writers", isEngine ? dispatch.Server->Load.writers() : 0},
+              {"readers", isEngine ? dispatch.Server->Load.readers()
+                                   : dispatch.Server->InFlight},
+              {"pace", dispatch.Server->Health.pace()},
+              {"helpers", dispatch.Helpers.size()},
+              {"prompt", dispatch.PromptTokens},
+              {"predicted_ms",
+               absl::ToInt64Milliseconds(dispatch.PredictedFirstToken)}});
+  Current = &dispatch;
+  IsStalled = false;
+  Context.Calls.sent(dispatch, startedAt);
+  LastByteAt = startedAt;
+  AttemptEnd end = co_await exchange(dispatch);
+  Current = nullptr;
+  Channel.reset();
+  const absl::Time now = clock::steadyNow();
+  if (end != AttemptEnd::NotSent) {
+    ++Progress.Sent;
+    Progress.MayHaveRun = Progress.MayHaveRun || core::relay::mayHaveRun(end);
+  }
+  Demand.Tried.push_back(dispatch.Server->Entry.Id);
+  Context.Calls.ended(dispatch, end, now);
+  if (end == AttemptEnd::WrongBackend)
+    Context.Calls.directory().forget(dispatch.Server->Entry.Id);
+  Context.Metrics.attemptEnded(core::relay::attemptEndName(end));
+  Attempts.push_back({dispatch.Server->Entry.Id, end, now - startedAt,
+                      dispatch.PredictedFirstToken, dispatch.Helpers.size()});
+  co_return end;
+}
+
+asio::awaitable<AttemptEnd> CallRunner::exchange(Dispatch &dispatch) {
+  if (!co_await openChannel(dispatch.Server->Entry.Address))
+    co_return lostEnd(false);
+  auto message = buildAttempt(dispatch, clock::steadyNow());
+  watch(clock::steadyNow() +
+        core::relay::firstByteBound(*Route, dispatch.PredictedFirstToken));
+  const auto [ec, n] =
+      co_await bhttp::async_write(Channel->Socket, message, asTuple);
+  if (ec)
+    co_return lostEnd(n > 0);
+  co_return co_await readAnswer(dispatch);
+}
+
+asio::awaitable<bool> CallRunner::openChannel(const std::string &address) {
+  if (Aborted.has_value())
+    co_return false;
+  Channel = Context.Channels.take(address, clock::steadyNow());
+  if (Channel != nullptr)
+    co_return true;
+  const auto endpoint = loop::parseEndpoint(address);
+  if (!endpoint.has_value())
+    co_return false;
+  Channel = std::make_unique<BackendChannel>(Context.Loop);
+  Channel->Address = address;
+  Connecting = true;
+  watch(clock::steadyNow() + ConnectBound);
+  const auto [ec] = co_await Channel->Socket.async_connect(*endpoint, asTuple);
+  Connecting = false;
+  if (ec)
+    co_return false;
+  Context.Metrics.connectionOpened();
+  loop::tuneSocket(Channel->Socket);
+  co_return !Aborted.has_value();
+}
+
+AttemptEnd CallRunner::lostEnd(bool wasSent) const {
+  if (Aborted == AttemptEnd::CallerGone || Aborted == AttemptEnd::OutOfTime)
+    return wasSent || Aborted == AttemptEnd::CallerGone ? *Aborted
+                                                        : AttemptEnd::NotSent;
+  if (!wasSent)
+    return AttemptEnd::NotSent;
+  return IsStalled ? AttemptEnd::Stalled : AttemptEnd::Broken;
+}
+
+bhttp::request<bhttp::span_body<char>>
+CallRunner::buildAttempt(const Dispatch &dispatch, absl::Time now) {
+  bhttp::request<bhttp::span_body<char>> message;
+  message.method_string(Request.method_string());
+  message.target(Request.target());
+  message.version(11);
+  copyEndToEnd(Request, message, [&](std::string_view name) {
+    return Context.Codec.isOwn(name);
+  });
+  core::relay::AttemptHead head;
+  head.Wait =
+      std::max(absl::Milliseconds(1), Progress.Deadline - now - AnswerWay);
+  head.BackendId = dispatch.Server->Entry.Id;
+  head.Workspace = Workspace;
+  head.ResumeAfter = Events.lastId();
+  if (dispatch.Speed != nullptr)
+    head.Priority = dispatch.PromptTokens <= ShortPromptTokens ? ShortPriority
+                                                               : LongPriority;
+  for (const auto &it : dispatch.Helpers)
+    head.Helpers.push_back(it->Entry.Address);
+  for (const auto &[name, value] : Context.Codec.encodeAttempt(head))
+    message.set(name, value);
+  message.body() = {Request.body().data(), Request.body().size()};
+  const bool hasBody =
+      !Request.body().empty() ||
+      Request.find(bhttp::field::content_length) != Request.end() ||
+      Request.chunked();
+  if (hasBody)
+    message.content_length(Request.body().size());
+  return message;
+}
+
+asio::awaitable<AttemptEnd> CallRunner::readAnswer(Dispatch &dispatch) {
+  for (;;) {
+    AnswerParser parser;
+    parser.body_limit(boost::none);
+    parser.header_limit(MaxAnswerHeaderBytes);
+    if (Request.method() == bhttp::verb::head)
+      parser.skip(true);
+    const auto [ec, n] = co_await bhttp::async_read_header(
+        Channel->Socket, Channel->Buffer, parser, asTuple);
+    if (ec)
+      co_return isProtocolError(ec) ? AttemptEnd::Garbled : lostEnd(true);
+    const auto status = static_cast<int>(parser.get().result_int());
+    if (status / 100 == 1)
+      continue;
+    const core::relay::AnswerHead head =
+        Context.Codec.decodeAnswer(headerViews(parser.get()));
+    if (!head.AttemptId.empty() && head.AttemptId != Head.AttemptId)
+      co_return AttemptEnd::Garbled;
+    if (status == 421)
+      co_return AttemptEnd::WrongBackend;
+    if (head.NotExecuted) {
+      if (!head.FaultyBackend.empty() &&
+          head.FaultyBackend != dispatch.Server->Entry.Id)
+        Context.Calls.reportLost(head.FaultyBackend, clock::steadyNow());
+      co_return AttemptEnd::Refused;
+    }
+    const bool isSuccess = status / 100 == 2;
+    if (promisesNotRun(status) ||
+        (isSuccess && (head.Signature.empty() || head.AttemptId.empty())))
+      co_return AttemptEnd::Garbled;
+    if (Progress.Delivered && !isSuccess)
+      co_return AttemptEnd::Failed;
+    if (isSuccess && Route->Kind == RouteKind::Streaming)
+      co_return co_await relayStream(parser, dispatch);
+    co_return co_await readPlain(parser, status >= 500);
+  }
+}
+
+asio::awaitable<AttemptEnd> CallRunner::readPlain(AnswerParser &parser,
+                                                  bool isFailure) {
+  std::string body;
+  std::array<char, ReadBufferBytes> buf{};
+  while (!parser.is_done()) {
+    parser.get().body().data = buf.data();
+    parser.get().body().size = buf.size();
+    const auto [ec, n] = co_await bhttp::async_read_some(
+        Channel->Socket, Channel->Buffer, parser, asTuple);
+    body.append(buf.data(), buf.size() - parser.get().body().size);
+    if (ec && ec != bhttp::error::need_buffer)
+      co_return isProtocolError(ec) ? AttemptEnd::Garbled : lostEnd(true);
+    if (body.size() > MaxHeldBytes)
+      co_return AttemptEnd::Garbled;
+  }
+  holdPlain(parser.get(), std::move(body));
+  keepChannel(parser);
+  co_return isFailure ? AttemptEnd::Failed : AttemptEnd::Answered;
+}
+
+void CallRunner::holdPlain(const bhttp::response_header<> &head,
+                           std::string body) {
+  PlainResponse response;
+  response.version(11);
+  response.result(head.result_int());
+  copyEndToEnd(head, response, [](std::string_view) { return false; });
+  if (Request.method() == bhttp::verb::head) {
+    const auto length = head.find(bhttp::field::content_length);
+    if (length != head.end())
+      response.set(bhttp::field::content_length, length->value());
+  } else {
+    response.body() = std::move(body);
+    response.content_length(response.body().size());
+  }
+  Held = std::move(response);
+}
+
+asio::awaitable<AttemptEnd> CallRunner::relayStream(AnswerParser &parser,
+                                                    Dispatch &dispatch) {
+  if (!Progress.Delivered) {
+    Held.reset();
+    StreamHead.emplace();
+    StreamHead->version(11);
+    StreamHead->result(parser.get().result_int());
+    copyEndToEnd(parser.get(), *StreamHead,
+                 [](std::string_view) { return false; });
+  }
+  std::array<char, ReadBufferBytes> buf{};
+  while (!parser.is_done()) {
+    parser.get().body().data = buf.data();
+    parser.get().body().size = buf.size();
+    const auto [ec, n] = co_await bhttp::async_read_some(
+        Channel->Socket, Channel->Buffer, parser, asTuple);
+    const size_t got = buf.size() - parser.get().body().size;
+    std::string out = Events.push({buf.data(), got});
+    if (!out.empty()) {
+      const absl::Time now = clock::steadyNow();
+      if (!dispatch.IsFirstTokenSeen)
+        Context.Metrics.firstEvent(now - ArrivedAt,
+                                   dispatch.PredictedFirstToken);
+      if (FirstEventAfter == absl::ZeroDuration())
+        FirstEventAfter = now - ArrivedAt;
+      Context.Calls.firstToken(dispatch, now);
+      LastByteAt = now;
+      watch(now + core::relay::gapBound(*Route));
+      if (!co_await writeChunk(out))
+        co_return Aborted.value_or(AttemptEnd::CallerGone);
+    }
+    if (ec && ec != bhttp::error::need_buffer)
+      co_return isProtocolError(ec) ? AttemptEnd::Garbled : lostEnd(true);
+  }
+  const std::string rest = Events.takeRest();
+  if (!rest.empty() && !co_await writeChunk(rest))
+    co_return Aborted.value_or(AttemptEnd::CallerGone);
+  keepChannel(parser);
+  if (!co_await finishStream())
+    co_return Aborted.value_or(AttemptEnd::CallerGone);
+  co_return AttemptEnd::Answered;
+}
+
+asio::awaitable<bool> CallRunner::writeStreamHead() {
+  if (!StreamHead.has_value())
+    co_return true;
+  Status = static_cast<int>(StreamHead->result_int());
+  Progress.Delivered = true;
+  if (Request.version() >= 11)
+    StreamHead->chunked(true);
+  else
+    KeepCaller = false;
+  if (!KeepCaller)
+    StreamHead->set(bhttp::field::connection, "close");
+  bhttp::response_serializer<bhttp::empty_body> serializer(*StreamHead);
+  const auto [ec, n] =
+      co_await bhttp::async_write_header(Caller, serializer, asTuple);
+  StreamHead.reset();
+  co_return !ec;
+}
+
+asio::awaitable<bool> CallRunner::writeChunk(const std::string &bytes) {
+  WritingToCaller = true;
+  const absl::Time phaseEnd = PhaseEnd;
+  watch(clock::steadyNow() + CallerWriteBound);
+  bool isDone = co_await writeStreamHead();
+  if (isDone && Request.version() >= 11) {
+    const auto [ec, n] = co_await asio::async_write(
+        Caller, bhttp::make_chunk(asio::buffer(bytes)), asTuple);
+    isDone = !ec;
+  } else if (isDone) {
+    const auto [ec, n] =
+        co_await asio::async_write(Caller, asio::buffer(bytes), asTuple);
+    isDone = !ec;
+  }
+  WritingToCaller = false;
+  watch(phaseEnd);
+  co_return isDone && !Aborted.has_value();
+}
+
+asio::awaitable<bool> CallRunner::finishStream() {
+  if (!co_await writeStreamHead())
+    co_return false;
+  if (Request.version() < 11)
+    co_return true;
+  const auto [ec, n] =
+      co_await asio::async_write(Caller, bhttp::make_chunk_last(), asTuple);
+  co_return !ec;
+}
+
+asio::awaitable<bool> CallRunner::writePlain() {
+  Status = static_cast<int>(Held->result_int());
+  if (!KeepCaller)
+    Held->set(bhttp::field::connection, "close");
+  WritingToCaller = true;
+  watch(clock::steadyNow() + CallerWriteBound);
+  const auto [ec, n] = co_await bhttp::async_write(Caller, *Held, asTuple);
+  WritingToCaller = false;
+  Watch.cancel();
+  co_return !ec;
+}
+
+void CallRunner::keepChannel(const AnswerParser &parser) {
+  if (!parser.keep_alive() || parser.need_eof())
+    return;
+  Context.Channels.give(std::move(Channel), keepAliveTime(parser.get()),
+                        clock::steadyNow());
+}
+
+void CallRunner::cutChannel() {
+  // The operation in progress ends with an error and its coroutine goes on.
+  boost::system::error_code ignored;
+  if (Channel != nullptr)
+    Channel->Socket.close(ignored);
+}
+
+void CallRunner::abort(AttemptEnd reason) {
+  if (Aborted.has_value())
+    return;
+  Aborted = reason;
+  cutChannel();
+  boost::system::error_code ignored;
+  if (WritingToCaller)
+    Caller.close(ignored);
+}
+
+void CallRunner::watch(absl::Time phaseEnd) {
+  PhaseEnd = phaseEnd;
+  if (std::min(PhaseEnd, Progress.Deadline) < WatchAt)
+    armWatch();
+}
+
+void CallRunner::armWatch() {
+  WatchAt = std::min(PhaseEnd, Progress.Deadline);
+  if (WatchAt == absl::InfiniteFuture())
+    return;
+  Watch.expires_at(clock::waitPoint(WatchAt, clock::steadyNow()));
+  Watch.async_wait([self = shared_from_this()](boost::system::error_code ec) {
+    if (!ec)
+      self->onWatch();
+  });
+}
+
+void CallRunner::onWatch() {
+  WatchAt = absl::InfiniteFuture();
+  const absl::Time now = clock::steadyNow();
+  if (!Aborted.has_value() && now >= Progress.Deadline)
+    abort(AttemptEnd::OutOfTime);
+  else if (now >= PhaseEnd)
+    onPhaseOver(now);
+  else
+    armWatch();
+}
+
+void CallRunner::onPhaseOver(absl::Time now) {
+  PhaseEnd = absl::InfiniteFuture();
+  if (WritingToCaller) {
+    boost::system::error_code ignored;
+    Caller.close(ignored);
+    return;
+  }
+  if (Connecting) {
+    cutChannel();
+    return;
+  }
+  if (Current == nullptr || Aborted.has_value())
+    return;
+  // Nobody gets new work of this engine's even if this call has to wait on.
+  Current->Server->Health.observe(core::fleet::HealthSign::Lost, now);
+  const bool canMove =
+      Route->mayRepeat() && Progress.Sent + 1 < Route->MaxAttempts &&
+      Context.Calls.tryRetry(Current->Server->Entry.Service, now);
+  log::write(log::Level::Info, "silence",
+             {{"id", Head.AttemptId},
+              {"backend", Current->Server->Entry.Id},
+              {"silent_for_ms", absl::ToInt64Milliseconds(now - LastByteAt)},
+              {"moved", canMove}});
+  if (!canMove) {
+    armWatch();
+    return;
+  }
+  RetryTaken = true;
+  IsStalled = true;
+  cutChannel();
+}
+
+void CallRunner::logEnd() {
+  const absl::Duration took = clock::steadyNow() - ArrivedAt;
+  const std::string kind(
+      Route == nullptr ? "none" : core::routes::routeKindName(Route->Kind));
+  Context.Metrics.callEnded(kind, Status, took);
+  nlohmann::json tries = nlohmann::json::array();
+  for (const AttemptRecord &it : Attempts)
+    tries.push_back({{"backend", it.Backend},
+                     {"end", core::relay::attemptEndName(it.End)},
+                     {"ms", absl::ToInt64Milliseconds(it.Took)},
+                     {"predicted_ms", absl::ToInt64Milliseconds(it.Predicted)},
+                     {"helpers", it.Helpers}});
+  nlohmann::json line = {
+      {"id", Head.AttemptId},
+      {"route", Route == nullptr ? "" : Route->Name},
+      {"kind", kind},
+      {"workspace", Workspace},
+      {"config", Config == nullptr ? 0 : Config->version()},
+      {"prompt", Head.PromptTokens},
+      {"status", Status},
+      {"first_ms", absl::ToInt64Milliseconds(FirstEventAfter)},
+      {"ms", absl::ToInt64Milliseconds(took)},
+      {"attempts", std::move(tries)}};
+  if (!OwnCode.empty()) {
+    line["code"] = OwnCode;
+    line["rule"] = OwnRule;
+  }
+  if (Aborted.has_value())
+    line["aborted"] = core::relay::attemptEndName(*Aborted);
+  log::write(log::Level::Info, "call", line);
+}
+
+} // namespace orioletally::drivers::relay
--- /dev/null
+++ b/drivers/relay/call_runner.h
@@ -0,0 +1,119 @@
+#ifndef ORIOLETALLY_DRIVERS_RELAY_CALL_RUNNER_H
+#define ORIOLETALLY_DRIVERS_RELAY_CALL_RUNNER_H
+
+#include "core/relay/attempt_policy.h"
+#include "core/relay/event_stream.h"
+#include "drivers/relay/relay_context.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace orioletally::drivers::relay {
+
+using CallRequest = bhttp::request<bhttp::string_body>;
+using PlainResponse = bhttp::response<bhttp::string_body>;
+
+/// Carries one call from its arrival to its end: picks the route, makes the
+/// attempts that core/relay decides on, and writes the answer to the caller.
+class CallRunner : public std::enable_shared_from_this<CallRunner> {
+public:
+  CallRunner(RelayContext &wanted, asio::ip::tcp::socket &socket,
+             CallRequest wantedRequest, absl::Time now);
+  ~CallRunner();
+  CallRunner(const CallRunner &) = delete;
+  CallRunner &operator=(const CallRunner &) = delete;
+
+  /// Runs the call and returns whether the caller's connection can carry
+  /// another one.
+  asio::awaitable<bool> run();
+
+  /// The caller has left, or its time is over; what is in progress ends.
+  void abort(core::relay::AttemptEnd reason);
+
+private:
+  struct AttemptRecord {
+    std::string Backend;
+    core::relay::AttemptEnd End;
+    absl::Duration Took;
+    absl::Duration Predicted;
+    size_t Helpers;
+  };
+
+  bool admit();
+  void refuse(const core::errors::RequestError &error);
+  asio::awaitable<void> attempts();
+  asio::awaitable<core::relay::AttemptEnd>
+  attempt(core::relay::Dispatch &dispatch);
+  asio::awaitable<core::relay::AttemptEnd>
+  exchange(core::relay::Dispatch &dispatch);
+  asio::awaitable<bool> openChannel(const std::string &address);
+  asio::awaitable<core::relay::AttemptEnd>
+  readAnswer(core::relay::Dispatch &dispatch);
+  asio::awaitable<core::relay::AttemptEnd>
+  readPlain(bhttp::response_parser<bhttp::buffer_body> &parser, bool isFailure);
+  asio::awaitable<core::relay::AttemptEnd>
+  relayStream(bhttp::response_parser<bhttp::buffer_body> &parser,
+              core::relay::Dispatch &dispatch);
+  asio::awaitable<bool> writeStreamHead();
+  asio::awaitable<bool> writeChunk(const std::string &bytes);
+  asio::awaitable<bool> finishStream();
+  asio::awaitable<bool> writePlain();
+
+  bhttp::request<bhttp::span_body<char>>
+  buildAttempt(const core::relay::Dispatch &dispatch, absl::Time now);
+  core::relay::AttemptEnd lostEnd(bool wasSent) const;
+  void cutChannel();
+  void keepChannel(const bhttp::response_parser<bhttp::buffer_body> &parser);
+  void holdPlain(const bhttp::response_header<> &head, std::string body);
+  void refreshDemand();
+  void watch(absl::Time phaseEnd);
+  void armWatch();
+  void onWatch();
+  void onPhaseOver(absl::Time now);
+  void logEnd();
+
+  RelayContext &Context;
+  asio::ip::tcp::socket &Caller;
+  CallRequest Request;
+  absl::Time ArrivedAt;
+
+  std::shared_ptr<const core::routes::RoutingConfig> Config;
+  const core::routes::Route *Route = nullptr;
+  std::string Workspace;
+  core::relay::CallHead Head;
+  core::relay::CallDemand Demand;
+  core::relay::CallProgress Progress;
+  core::relay::EventStream Events;
+
+  std::unique_ptr<BackendChannel> Channel;
+  core::relay::Dispatch *Current = nullptr;
+  asio::steady_timer Watch;
+  absl::Time PhaseEnd = absl::InfiniteFuture();
+  absl::Time WatchAt = absl::InfiniteFuture();
+  absl::Time LastByteAt;
+  /// Set when the whole call ends early.
+  std::optional<core::relay::AttemptEnd> Aborted;
+  /// The attempt in progress was given up because of silence.
+  bool IsStalled = false;
+  /// A retry was taken from the budget before its attempt was given up.
+  bool RetryTaken = false;
+  bool Connecting = false;
+  bool WritingToCaller = false;
+  bool KeepCaller = true;
+
+  /// The answer that is given if nothing better comes.
+  std::optional<PlainResponse> Held;
+  /// The head of a stream's answer until it is written.
+  std::optional<bhttp::response<bhttp::empty_body>> StreamHead;
+  std::vector<AttemptRecord> Attempts;
+  int Status = 0;
+  std::string OwnCode;
+  std::string OwnRule;
+  absl::Duration FirstEventAfter = absl::ZeroDuration();
+};
+
+} // namespace orioletally::drivers::relay
+
+#endif
--- /dev/null
+++ b/drivers/relay/caller_session.cpp
@@ -0,0 +1,194 @@
+#include "drivers/relay/caller_session.h"
+
+#include "drivers/clock/clock.h"
+#include "drivers/log/log.h"
+#include "drivers/relay/message_parts.h"
+
+#include <cerrno>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <utility>
+
+namespace orioletally::drivers::relay {
+
+namespace {
+
+using loop::asTuple;
+
+constexpr size_t ReadBytes = 16 << 10;
+/// Bound on the arrival of a body, whose size is limited already.
+constexpr absl::Duration BodyBound = absl::Seconds(10);
+/// What a caller that is turned away may still send before a close resets the
+/// connection and takes our answer with it.
+constexpr size_t LingerBytes = 256 << 10;
+constexpr absl::Duration LingerBound = absl::Seconds(1);
+
+std::chrono::nanoseconds chrono(absl::Duration time) {
+  return absl::ToChronoNanoseconds(time);
+}
+
+/// What a request that can't be read is answered; empty when its sender has
+/// just left.
+std::optional<bhttp::status> rejection(const boost::system::error_code &ec) {
+  if (ec == bhttp::error::header_limit)
+    return bhttp::status::request_header_fields_too_large;
+  if (ec == bhttp::error::body_limit)
+    return bhttp::status::payload_too_large;
+  if (isProtocolError(ec))
+    return bhttp::status::bad_request;
+  return std::nullopt;
+}
+
+/// Whether the request's framing or target is one that two readers could
+/// understand in two ways.
+bool isAmbiguous(const CallRequest &request) {
+  const auto encoding = request[bhttp::field::transfer_encoding];
+  if (!encoding.empty() && !beast::iequals(encoding, "chunked"))
+    return true;
+  if (request.count(bhttp::field::host) != 1 ||
+      request.count(bhttp::field::content_length) > 1 ||
+      request.count(bhttp::field::transfer_encoding) > 1)
+    return true;
+  if (!encoding.empty() && request.count(bhttp::field::content_length) > 0)
+    return true;
+  return request.target().empty() || request.target().front() != '/';
+}
+
+} // namespace
+
+CallerSession::CallerSession(RelayContext &wanted, asio::ip::tcp::socket socket)
+    : Context(wanted), Stream(std::move(socket)) {
+  const int on = 1;
+  // Without it small events wait for the acknowledgement of earlier ones.
+  [[maybe_unused]] const int ec =
+      ::setsockopt(Stream.socket().native_handle(), IPPROTO_TCP, TCP_NODELAY,
+                   &on, sizeof(on));
+}
+
+asio::awaitable<void> CallerSession::run() {
+  const auto self = shared_from_this();
+  while (co_await serveOne()) {
+  }
+  Stream.close();
+}
+
+void CallerSession::closeIfIdle() {
+  if (!IsBusy)
+    Stream.close();
+}
+
+asio::awaitable<bool> CallerSession::serveOne() {
+  const auto config = Context.Calls.config();
+  const core::routes::CallerLimits limits =
+      config == nullptr ? core::routes::CallerLimits{} : config->limits();
+  if (Buffer.size() == 0 && !co_await awaitFirstByte(limits.IdleBound))
+    co_return false;
+  IsBusy = true;
+  std::optional<CallRequest> request = co_await readRequest(limits);
+  if (!request.has_value())
+    co_return false;
+  Stream.expires_never();
+  auto runner = std::make_shared<CallRunner>(
+      Context, Stream.socket(), std::move(*request), clock::steadyNow());
+  watchCaller(runner);
+  const bool isKept = co_await runner->run();
+  if (!Stream.socket().is_open())
+    co_return false;
+  Stream.socket().cancel();
+  IsBusy = false;
+  if (!isKept)
+    co_await lingeringClose();
+  co_return isKept;
+}
+
+asio::awaitable<bool> CallerSession::awaitFirstByte(absl::Duration bound) {
+  Stream.expires_after(chrono(bound));
+  const auto [ec, n] =
+      co_await Stream.async_read_some(Buffer.prepare(ReadBytes), asTuple);
+  Buffer.commit(n);
+  co_return !ec;
+}
+
+asio::awaitable<std::optional<CallRequest>>
+CallerSession::readRequest(const core::routes::CallerLimits &limits) {
+  bhttp::request_parser<bhttp::string_body> parser;
+  parser.header_limit(limits.MaxHeaderBytes);
+  parser.body_limit(limits.MaxBodyBytes);
+  Stream.expires_after(chrono(limits.HeaderBound));
+  const auto [headError, headBytes] =
+      co_await bhttp::async_read_header(Stream, Buffer, parser, asTuple);
+  if (headError) {
+    co_await reject(headError);
+    co_return std::nullopt;
+  }
+  if (isAmbiguous(parser.get())) {
+    co_await reject(bhttp::error::bad_field);
+    co_return std::nullopt;
+  }
+  if (beast::iequals(parser.get()[bhttp::field::expect], "100-continue")) {
+    bhttp::response<bhttp::empty_body> proceed(bhttp::status::continue_, 11);
+    const auto [ec, n] = co_await bhttp::async_write(Stream, proceed, asTuple);
+    if (ec)
+      co_return std::nullopt;
+  }
+  if (!parser.is_done()) {
+    Stream.expires_after(chrono(BodyBound));
+    const auto [bodyError, bodyBytes] =
+        co_await bhttp::async_read(Stream, Buffer, parser, asTuple);
+    if (bodyError) {
+      co_await reject(bodyError);
+      co_return std::nullopt;
+    }
+  }
+  co_return parser.release();
+}
+
+asio::awaitable<void> CallerSession::reject(boost::system::error_code ec) {
+  const std::optional<bhttp::status> status = rejection(ec);
+  if (!status.has_value())
+    co_return;
+  log::write(log::Level::Info, "call_rejected",
+             {{"status", static_cast<int>(*status)}, {"reason", ec.message()}});
+  bhttp::response<bhttp::string_body> response(*status, 11);
+  response.set(bhttp::field::connection, "close");
+  response.body() = ec.message();
+  response.prepare_payload();
+  Stream.expires_after(chrono(LingerBound));
+  co_await bhttp::async_write(Stream, response, asTuple);
+  co_await lingeringClose();
+}
+
+asio::awaitable<void> CallerSession::lingeringClose() {
+  boost::system::error_code ignored;
+  Stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  Stream.expires_after(chrono(LingerBound));
+  for (size_t total = 0; total < LingerBytes;) {
+    Buffer.clear();
+    const auto [ec, n] =
+        co_await Stream.async_read_some(Buffer.prepare(ReadBytes), asTuple);
+    if (ec)
+      break;
+    total += n;
+  }
+  Stream.close();
+}
+
+void CallerSession::watchCaller(const std::shared_ptr<CallRunner> &runner) {
+  Stream.socket().async_wait(
+      asio::ip::tcp::socket::wait_read,
+      [self = shared_from_this(),
+       weak = std::weak_ptr<CallRunner>(runner)](boost::system::error_code ec) {
+        const std::shared_ptr<CallRunner> running = weak.lock();
+        if (ec || running == nullptr)
+          return;
+        char c = 0;
+        const ssize_t n = ::recv(self->Stream.socket().native_handle(), &c, 1,
+                                 MSG_PEEK | MSG_DONTWAIT);
+        const bool isOpen =
+            n > 0 || (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
+        if (!isOpen)
+          running->abort(core::relay::AttemptEnd::CallerGone);
+      });
+}
+
+} // namespace orioletally::drivers::relay
--- /dev/null
+++ b/drivers/relay/caller_session.h
@@ -0,0 +1,40 @@
+#ifndef ORIOLETALLY_DRIVERS_RELAY_CALLER_SESSION_H
+#define ORIOLETALLY_DRIVERS_RELAY_CALLER_SESSION_H
+
+#include "drivers/relay/call_runner.h"
+#include "drivers/relay/relay_context.h"
+
+#include <memory>
+#include <optional>
+
+namespace orioletally::drivers::relay {
+
+/// A caller's connection: reads one call after the other within the limits of
+/// the configuration, and turns malformed ones away.
+class CallerSession : public std::enable_shared_from_this<CallerSession> {
+public:
+  CallerSession(RelayContext &wanted, asio::ip::tcp::socket socket);
+
+  asio::awaitable<void> run();
+
+  /// Closes the connection unless a call is in progress.
+  void closeIfIdle();
+
+private:
+  asio::awaitable<bool> serveOne();
+  asio::awaitable<bool> awaitFirstByte(absl::Duration bound);
+  asio::awaitable<std::optional<CallRequest>>
+  readRequest(const core::routes::CallerLimits &limits);
+  asio::awaitable<void> reject(boost::system::error_code ec);
+  asio::awaitable<void> lingeringClose();
+  void watchCaller(const std::shared_ptr<CallRunner> &runner);
+
+  RelayContext &Context;
+  beast::tcp_stream Stream;
+  beast::flat_buffer Buffer;
+  bool IsBusy = false;
+};
+
+} // namespace orioletally::drivers::relay
+
+#endif
--- /dev/null
+++ b/drivers/relay/fleet_view.cpp
@@ -0,0 +1,122 @@
+#include "drivers/relay/fleet_view.h"
+
+#include "drivers/clock/clock.h"
+#include "drivers/log/log.h"
+
+#include <utility>
+
+namespace orioletally::drivers::relay {
+
+using core::fleet::BackendEntry;
+using core::fleet::DirectoryChange;
+using core::platform::FleetTopic;
+
+void FleetView::configRead(
+    std::shared_ptr<const core::routes::RoutingConfig> config) {
+  const auto &known = Context.Calls.config();
+  if (known != nullptr && config->version() <= known->version())
+    return;
+  log::write(log::Level::Info, "config_in_force",
+             {{"version", config->version()},
+              {"before", known == nullptr ? 0 : known->version()},
+              {"routes", config->routes().size()}});
+  Context.Metrics.setConfigVersion(config->version());
+  Context.Calls.setConfig(std::move(config));
+  if (Tell)
+    Tell();
+}
+
+void FleetView::backendsRead(std::vector<BackendEntry> entries) {
+  log::write(log::Level::Info, "backends_read_whole",
+             {{"listed", entries.size()},
+              {"known", Context.Calls.directory().size()}});
+  Context.Calls.directory().replace(std::move(entries), clock::steadyNow());
+  Context.Metrics.setBackends(
+      static_cast<int64_t>(Context.Calls.directory().size()));
+}
+
+void FleetView::backendChanged(BackendEntry entry) {
+  const BackendEntry copy = entry;
+  const DirectoryChange change =
+      Context.Calls.directory().put(std::move(entry), clock::steadyNow());
+  logBackend(copy, change);
+}
+
+void FleetView::backendRemoved(const std::string &id) {
+  BackendEntry gone;
+  gone.Id = id;
+  if (const auto server = Context.Calls.directory().find(id))
+    gone = server->Entry;
+  const DirectoryChange change =
+      Context.Calls.directory().remove(id, clock::steadyNow());
+  if (change == DirectoryChange::Gone)
+    Context.Channels.drop(gone.Address);
+  logBackend(gone, change);
+}
+
+void FleetView::logBackend(const BackendEntry &entry, DirectoryChange change) {
+  if (change == DirectoryChange::None)
+    return;
+  log::write(log::Level::Info, "backend_changed",
+             {{"backend", entry.Id},
+              {"service", entry.Service},
+              {"address", entry.Address},
+              {"row_version", entry.RowVersion},
+              {"change", core::fleet::directoryChangeName(change)}});
+  Context.Metrics.setBackends(
+      static_cast<int64_t>(Context.Calls.directory().size()));
+  const bool isLeaving =
+      change == DirectoryChange::Leaving || change == DirectoryChange::Gone;
+  if (isLeaving && Tell)
+    Tell();
+}
+
+void FleetView::nodesRead(const std::vector<core::platform::NodeEntry> &nodes) {
+  topicFollowed(FleetTopic::Nodes);
+  if (TakeNodes)
+    TakeNodes(nodes);
+}
+
+void FleetView::topicLost(FleetTopic topic, const std::string &reason) {
+  Context.Metrics.storeCall(core::platform::fleetTopicName(topic), false);
+  const absl::Time now = clock::steadyNow();
+  if (topic == FleetTopic::Backends)
+    Context.Calls.directory().listLost(now);
+  TopicState &state = Topics[static_cast<size_t>(topic)];
+  if (std::exchange(state.IsLost, true))
+    return;
+  state.Since = now;
+  log::write(
+      log::Level::Warn, "store_lost",
+      {{"topic", core::platform::fleetTopicName(topic)}, {"reason", reason}});
+}
+
+void FleetView::topicFollowed(FleetTopic topic) {
+  Context.Metrics.storeCall(core::platform::fleetTopicName(topic), true);
+  const absl::Time now = clock::steadyNow();
+  if (topic == FleetTopic::Backends)
+    Context.Calls.directory().listBack(now);
+  TopicState &state = Topics[static_cast<size_t>(topic)];
+  if (!std::exchange(state.IsLost, false))
+    return;
+  log::write(log::Level::Info, "store_back",
+             {{"topic", core::platform::fleetTopicName(topic)},
+              {"lost_for_ms", absl::ToInt64Milliseconds(now - state.Since)}});
+}
+
+void FleetView::rowRejected(FleetTopic topic, const std::string &key,
+                            const std::string &reason) {
+  log::write(log::Level::Warn, "row_rejected",
+             {{"topic", core::platform::fleetTopicName(topic)},
+              {"key", key},
+              {"reason", reason}});
+}
+
+void FleetView::takeLeaving(const std::vector<std::string> &ids) {
+  for (const std::string &id : ids)
+    if (Context.Calls.directory().markLeaving(id))
+      log::write(log::Level::Info, "backend_leaving_by_peer",
+                 {{"backend", id}});
+}
+
+} // namespace orioletally::drivers::relay
--- /dev/null
+++ b/drivers/relay/fleet_view.h
@@ -0,0 +1,63 @@
+#ifndef ORIOLETALLY_DRIVERS_RELAY_FLEET_VIEW_H
+#define ORIOLETALLY_DRIVERS_RELAY_FLEET_VIEW_H
+
+#include "core/platform/fleet_source.h"
+#include "drivers/relay/relay_context.h"
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace orioletally::drivers::relay {
+
+/// Keeps what the node believes of the fleet in step with the platform, and
+/// logs each change of it.
+class FleetView : public core::platform::FleetListener {
+public:
+  explicit FleetView(RelayContext &wanted) : Context(wanted) {}
+
+  /// Called after a change that other nodes should hear of.
+  void setNews(std::function<void()> handler) { Tell = std::move(handler); }
+
+  /// Called with the nodes that have registered themselves.
+  void
+  setNodes(std::function<void(const std::vector<core::platform::NodeEntry> &)>
+               handler) {
+    TakeNodes = std::move(handler);
+  }
+
+  void configRead(
+      std::shared_ptr<const core::routes::RoutingConfig> config) override;
+  void backendsRead(std::vector<core::fleet::BackendEntry> entries) override;
+  void backendChanged(core::fleet::BackendEntry entry) override;
+  void backendRemoved(const std::string &id) override;
+  void nodesRead(const std::vector<core::platform::NodeEntry> &nodes) override;
+  void topicLost(core::platform::FleetTopic topic,
+                 const std::string &reason) override;
+  void topicFollowed(core::platform::FleetTopic topic) override;
+  void rowRejected(core::platform::FleetTopic topic, const std::string &key,
+                   const std::string &reason) override;
+
+  /// Takes in what a peer says of leaving backend servers.
+  void takeLeaving(const std::vector<std::string> &ids);
+
+private:
+  struct TopicState {
+    bool IsLost = false;
+    absl::Time Since;
+  };
+
+  void logBackend(const core::fleet::BackendEntry &entry,
+                  core::fleet::DirectoryChange change);
+
+  RelayContext &Context;
+  std::function<void()> Tell;
+  std::function<void(const std::vector<core::platform::NodeEntry> &)> TakeNodes;
+  std::array<TopicState, 3> Topics;
+};
+
+} // namespace orioletally::drivers::relay
+
+#endif
--- /dev/null
+++ b/drivers/relay/peer_link.h
@@ -0,0 +1,83 @@
+#ifndef ORIOLETALLY_DRIVERS_RELAY_PEER_LINK_H
+#define ORIOLETALLY_DRIVERS_RELAY_PEER_LINK_H
+
+#include "core/platform/fleet_source.h"
+#include "core/relay/load_news.h"
+#include "drivers/loop/asio_use.h"
+#include "drivers/peer/peer_transport.h"
+
+#include <absl/time/time.h>
+#include <boost/leaf.hpp>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace orioletally::drivers::relay {
+
+/// What a PeerLink needs of the node and does for it. All are called on the
+/// event loop.
+struct PeerLinkHandlers {
+  std::function<void(const core::relay::PromptNews &)> TakePrompt;
+  std::function<void(const std::vector<std::string> &)> TakeLeaving;
+  std::function<void(const std::string &)> TakeConfig;
+  std::function<void(size_t nodes)> NodesChanged;
+  std::function<uint64_t()> ConfigVersion;
+  std::function<std::string()> ConfigText;
+  std::function<std::vector<std::string>()> Leaving;
+};
+
+/// Tells the other nodes what this one sends to engines, which backend servers
+/// leave and which configuration it has, and hears the same of them. What
+/// concerns placement goes out within a few milliseconds; everything may be
+/// lost.
+class PeerLink {
+public:
+  PeerLink(asio::io_context &loop, core::platform::NodeEntry self,
+           PeerLinkHandlers handlers);
+
+  /// Binds the address and begins to talk.
+  boost::leaf::result<void> start();
+  void stop();
+
+  /// Tells the others of \p news soon.
+  void tell(const core::relay::PromptNews &news);
+
+  /// Tells the others of leaving backend servers or a configuration soon.
+  void tellFleet();
+
+  /// Takes in the nodes that have registered themselves.
+  void nodesRead(const std::vector<core::platform::NodeEntry> &nodes,
+                 absl::Time now);
+
+  /// Nodes heard of lately, this one included.
+  size_t nodes(absl::Time now) const;
+
+private:
+  struct Peer {
+    std::string Address;
+    uint64_t Incarnation = 0;
+    absl::Time KnownAt;
+  };
+
+  void receive(std::string bytes);
+  void flush();
+  void flushWithin(absl::Duration time);
+  asio::awaitable<void> beat();
+
+  asio::io_context &Loop;
+  core::platform::NodeEntry Self;
+  PeerLinkHandlers Handlers;
+  peer::PeerTransport Transport;
+  std::map<std::string, Peer> Peers;
+  std::vector<core::relay::PromptNews> Pending;
+  asio::steady_timer Flush;
+  asio::steady_timer Beat;
+  absl::Time FlushAt = absl::InfiniteFuture();
+  bool IsFleetPending = false;
+  bool Stopping = false;
+};
+
+} // namespace orioletally::drivers::relay
+
+#endif
--- /dev/null
+++ b/drivers/relay/relay_context.h
@@ -0,0 +1,30 @@
+#ifndef ORIOLETALLY_DRIVERS_RELAY_RELAY_CONTEXT_H
+#define ORIOLETALLY_DRIVERS_RELAY_RELAY_CONTEXT_H
+
+#include "core/relay/call_head.h"
+#include "core/relay/dispatcher.h"
+#include "drivers/loop/asio_use.h"
+#include "drivers/metrics/relay_metrics.h"
+#include "drivers/relay/backend_channel.h"
+
+#include <cstdint>
+
+namespace orioletally::drivers::relay {
+
+/// What all calls of a node share. Everything runs on one event loop.
+struct RelayContext {
+  asio::io_context &Loop;
+  core::relay::Dispatcher &Calls;
+  const core::relay::CallCodec &Codec;
+  metrics::RelayMetrics &Metrics;
+  ChannelPool Channels;
+  /// SIGTERM came at this time.
+  absl::Time DrainingSince = absl::InfiniteFuture();
+  int64_t InProgress = 0;
+
+  bool isDraining() const { return DrainingSince != absl::InfiniteFuture(); }
+};
+
+} // namespace orioletally::drivers::relay
+
+#endif
--- /dev/null
+++ b/main/entry_node.cpp
@@ -0,0 +1,234 @@
+#include "main/entry_node.h"
+
+#include "drivers/clock/clock.h"
+#include "drivers/log/log.h"
+#include "drivers/relay/fleet_view.h"
+#include "drivers/relay/message_parts.h"
+#include "drivers/relay/peer_link.h"
+#include "drivers/relay/relay_server.h"
+#include "platform/header_codec.h"
+#include "platform/store_fleet_source.h"
+#include "platform/wire_names.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <fmt/format.h>
+#include <random>
+#include <utility>
+
+namespace leaf = boost::leaf;
+
+namespace orioletally::main {
+
+namespace {
+
+using core::fields::FieldValues;
+using drivers::loop::asTuple;
+
+/// Time after SIGTERM in which callers' connections still come: the balancer
+/// takes a node out after two questions a second apart.
+constexpr absl::Duration BalancerBound = absl::Milliseconds(2500);
+/// Time before SIGKILL in which the process ends by itself.
+constexpr absl::Duration ExitSlack = absl::Milliseconds(300);
+constexpr auto DrainStep = std::chrono::milliseconds(50);
+constexpr auto UpkeepEvery = std::chrono::seconds(1);
+/// Files besides connections: logs, timers, the event loop, peers.
+constexpr int64_t ReservedFiles = 256;
+/// Part of the bound on repeats that is used: nodes that start or go count
+/// each other wrongly for a while.
+constexpr double RetryPart = 0.7;
+
+absl::Duration milliseconds(const FieldValues &settings, std::string_view key) {
+  return absl::Milliseconds(settings.integer(key));
+}
+
+core::platform::NodeEntry selfEntry(const FieldValues &settings,
+                                    uint64_t incarnation) {
+  return {settings.text("node.name"), settings.text("peers.address"),
+          incarnation};
+}
+
+core::relay::DispatcherSettings dispatcherSettings(const FieldValues &settings,
+                                                   uint64_t incarnation) {
+  core::relay::DispatcherSettings result;
+  result.Zone = settings.text("node.zone");
+  result.Seed = std::random_device{}();
+  result.Incarnation = incarnation ^ result.Seed << 20;
+  result.Retries.Share = RetryPart * settings.real("retries.share");
+  result.Retries.Slack =
+      RetryPart * static_cast<double>(settings.integer("retries.slack"));
+  result.Retries.Window = milliseconds(settings, "retries.window_ms");
+  return result;
+}
+
+platform::StoreSourceSettings
+storeSettings(const FieldValues &settings,
+              const core::platform::NodeEntry &self) {
+  platform::StoreSourceSettings result;
+  result.Address = settings.text("store.address");
+  result.Self = self;
+  result.Wait = milliseconds(settings, "store.wait_ms");
+  result.Bound = milliseconds(settings, "store.bound_ms");
+  return result;
+}
+
+} // namespace
+
+/// Every part of a node, in an order in which each outlives those after it.
+struct EntryNode::Parts {
+  Parts(const FieldValues &values, uint64_t incarnation)
+      : Settings(values), Calls(dispatcherSettings(values, incarnation)),
+        Context{Loop, Calls, Codec, Metrics, {}}, View(Context),
+        Self(selfEntry(values, incarnation)),
+        Source(Loop, storeSettings(values, Self)),
+        Peers(Loop, Self, peerHandlers()), Server(Context),
+        Signals(Loop, SIGTERM, SIGINT), Reload(Loop, SIGHUP) {
+    Calls.setNews(
+        [this](const core::relay::PromptNews &it) { Peers.tell(it); });
+    View.setNews([this] { Peers.tellFleet(); });
+    View.setNodes([this](const auto &nodes) {
+      Peers.nodesRead(nodes, drivers::clock::steadyNow());
+    });
+  }
+
+  drivers::relay::PeerLinkHandlers peerHandlers() {
+    drivers::relay::PeerLinkHandlers handlers;
+    handlers.TakePrompt = [this](const core::relay::PromptNews &it) {
+      Calls.takeNews(it, drivers::clock::steadyNow());
+    };
+    handlers.TakeLeaving = [this](const std::vector<std::string> &ids) {
+      View.takeLeaving(ids);
+    };
+    handlers.TakeConfig = [this](const std::string &text) {
+      if (auto config = Source.readConfig(text))
+        View.configRead(std::move(config));
+    };
+    handlers.NodesChanged = [this](size_t n) {
+      Calls.setNodes(n);
+      Metrics.setNodes(static_cast<int64_t>(n));
+    };
+    handlers.ConfigVersion = [this] {
+      return Calls.config() == nullptr ? 0 : Calls.config()->version();
+    };
+    handlers.ConfigText = [this] {
+      return Calls.config() == nullptr ? std::string()
+                                       : Calls.config()->source();
+    };
+    handlers.Leaving = [this] { return Calls.directory().leaving(); };
+    return handlers;
+  }
+
+  bhttp::response<bhttp::string_body> ready() const {
+    const bool isReady = Calls.config() != nullptr && !Context.isDraining();
+    bhttp::response<bhttp::string_body> response(
+        isReady ? bhttp::status::ok : bhttp::status::service_unavailable, 11);
+    response.body() = isReady ? "ready\n" : "not ready\n";
+    return response;
+  }
+
+  bhttp::response<bhttp::string_body> figures() {
+    Metrics.setLogLinesDropped(drivers::log::droppedLines());
+    bhttp::response<bhttp::string_body> response(bhttp::status::ok, 11);
+    response.set(bhttp::field::content_type, "text/plain; version=0.0.4");
+    response.body() = Metrics.text();
+    return response;
+  }
+
+  asio::awaitable<void> upkeep() {
+    asio::steady_timer timer(Loop);
+    for (;;) {
+      timer.expires_after(UpkeepEvery);
+      co_await timer.async_wait(asTuple);
+      Context.Channels.closeIdle(drivers::clock::steadyNow());
+    }
+  }
+
+  asio::awaitable<void> obeyReload() {
+    for (;;) {
+      const auto [ec, n] = co_await Reload.async_wait(asTuple);
+      if (ec)
+        co_return;
+      // Addresses can't change while calls run; nothing else is set there
+      // that a restart wouldn't bring.
+      drivers::log::write(drivers::log::Level::Info, "reload",
+                          {{"changed", false}});
+    }
+  }
+
+  asio::awaitable<void> obeyStop() {
+    co_await Signals.async_wait(asTuple);
+    const absl::Time since = drivers::clock::steadyNow();
+    Context.DrainingSince = since;
+    drivers::log::write(drivers::log::Level::Info, "draining",
+                        {{"in_progress", Context.InProgress}});
+    const absl::Time until =
+        since + milliseconds(Settings, "node.grace_ms") - ExitSlack;
+    asio::steady_timer timer(Loop);
+    for (;;) {
+      const absl::Time now = drivers::clock::steadyNow();
+      const bool isQuiet =
+          now - since >= BalancerBound && Context.InProgress == 0;
+      if (isQuiet || now >= until)
+        break;
+      timer.expires_after(DrainStep);
+      co_await timer.async_wait(asTuple);
+    }
+    IsWhole = Context.InProgress == 0;
+    Server.stopAccepting();
+    Source.stop();
+    Peers.stop();
+    Loop.stop();
+  }
+
+  FieldValues Settings;
+  asio::io_context Loop{1};
+  core::relay::Dispatcher Calls;
+  platform::HeaderCodec Codec;
+  drivers::metrics::RelayMetrics Metrics;
+  drivers::relay::RelayContext Context;
+  drivers::relay::FleetView View;
+  core::platform::NodeEntry Self;
+  platform::StoreFleetSource Source;
+  drivers::relay::PeerLink Peers;
+  drivers::relay::RelayServer Server;
+  asio::signal_set Signals;
+  asio::signal_set Reload;
+  bool IsWhole = true;
+};
+
+EntryNode::EntryNode(const FieldValues &settings, uint64_t incarnation)
+    : All(std::make_unique<Parts>(settings, incarnation)) {}
+
+EntryNode::~EntryNode() = default;
+
+leaf::result<void> EntryNode::start() {
+  const std::string &calls = All->Settings.text("calls.address");
+  const auto sessions = static_cast<size_t>(
+      (All->Settings.integer("node.max_files") - ReservedFiles) / 2);
+  BOOST_LEAF_CHECK(All->Server.listenForCalls(calls, sessions));
+  BOOST_LEAF_CHECK(
+      All->Server.listenForStatus(All->Settings.text("ready.address"),
+                                  {{std::string(platform::wire::ReadyPath),
+                                    [this] { return All->ready(); }}}));
+  if (All->Settings.integer("metrics.port") > 0)
+    BOOST_LEAF_CHECK(All->Server.listenForStatus(
+        fmt::format("{}:{}", calls.substr(0, calls.rfind(':')),
+                    All->Settings.integer("metrics.port")),
+        {{"/metrics", [this] { return All->figures(); }}}));
+  BOOST_LEAF_CHECK(All->Peers.start());
+  All->Source.start(All->View);
+  asio::co_spawn(All->Loop, All->upkeep(), asio::detached);
+  asio::co_spawn(All->Loop, All->obeyReload(), asio::detached);
+  asio::co_spawn(All->Loop, All->obeyStop(), asio::detached);
+  drivers::log::write(drivers::log::Level::Info, "serving",
+                      {{"calls", calls},
+                       {"peers", All->Settings.text("peers.address")},
+                       {"zone", All->Settings.text("node.zone")}});
+  return {};
+}
+
+bool EntryNode::run() {
+  All->Loop.run();
+  return All->IsWhole;
+}
+
+} // namespace orioletally::main
--- /dev/null
+++ b/main/entry_node.h
@@ -0,0 +1,36 @@
+#ifndef ORIOLETALLY_MAIN_ENTRY_NODE_H
+#define ORIOLETALLY_MAIN_ENTRY_NODE_H
+
+#include "core/fields/field_table.h"
+
+#include <boost/leaf.hpp>
+#include <cstdint>
+#include <memory>
+
+namespace orioletally::main {
+
+/// An entry node on the users' platform: relays callers' calls to backend
+/// servers by the configuration in the platform's store.
+class EntryNode {
+public:
+  EntryNode(const core::fields::FieldValues &settings, uint64_t incarnation);
+  ~EntryNode();
+  EntryNode(const EntryNode &) = delete;
+  EntryNode &operator=(const EntryNode &) = delete;
+
+  /// Listens, and begins to follow the store. Fails with a
+  /// drivers::relay::RelayListenError or a drivers::peer::TransportError.
+  boost::leaf::result<void> start();
+
+  /// Runs until SIGTERM or SIGINT has been obeyed. Returns whether every call
+  /// ended by itself.
+  bool run();
+
+private:
+  struct Parts;
+  std::unique_ptr<Parts> All;
+};
+
+} // namespace orioletally::main
+
+#endif
--- a/main/main.cpp
+++ b/main/main.cpp
@@ -6,6 +6,9 @@
 #include "drivers/http/http_server.h"
 #include "drivers/log/log.h"
 #include "drivers/peer/peer_transport.h"
+#include "drivers/relay/relay_server.h"
+#include "main/entry_node.h"
+#include "main/entry_settings.h"
 #include "main/exit_code.h"
 #include "main/node.h"
 #include "main/operator_commands.h"
@@ -30,6 +33,7 @@
 namespace {
 
 constexpr const char *Version = "orioletally 0.1.0";
+constexpr const char *SettingsVariable = "ORIOLETALLY_SETTINGS";
 constexpr const char *TokenVariable = "ORIOLETALLY_TOKEN";
 constexpr int DefaultWaitSeconds = 30;
 constexpr size_t KeyBuffer = 41;
@@ -85,6 +89,10 @@
         return failed(
             fmt::format("can't listen on {}: {}", ec.Address, ec.Reason));
       },
+      [](const drivers::relay::RelayListenError &ec) {
+        return failed(
+            fmt::format("can't listen on {}: {}", ec.Address, ec.Reason));
+      },
       [](const drivers::peer::TransportError &ec) {
         return failed("peers: " + ec.Reason);
       },
@@ -116,6 +124,32 @@
   });
 }
 
+/// The platform puts the path of an entry node's settings there.
+std::string entrySettingsFile(const po::variables_map &options) {
+  const char *path = std::getenv(SettingsVariable);
+  const bool isGiven = !options["settings"].defaulted();
+  return path == nullptr || isGiven ? options["settings"].as<std::string>()
+                                    : path;
+}
+
+ExitCode serveEntry(const std::string &file) {
+  raiseFileLimit();
+  return reporting([&]() -> leaf::result<ExitCode> {
+    BOOST_LEAF_AUTO(settings, loadEntrySettings(file));
+    const auto incarnation =
+        static_cast<uint64_t>(absl::ToUnixMillis(drivers::clock::wallNow()));
+    drivers::log::setIdentity(
+        settings.text("node.name"), incarnation,
+        drivers::log::levelFromName(settings.text("log.level")));
+    EntryNode node(settings, incarnation);
+    BOOST_LEAF_CHECK(node.start());
+    const bool isWhole = node.run();
+    drivers::log::write(drivers::log::Level::Info, "stopped",
+                        {{"whole", isWhole}});
+    return isWhole ? ExitCode::Done : ExitCode::Refused;
+  });
+}
+
 ExitCode check(const std::string &file) {
   return reporting([&]() -> leaf::result<ExitCode> {
     BOOST_LEAF_CHECK(charts::requestChart());
@@ -138,9 +172,12 @@
   fmt::print("# Configuration\n\nWritten by `orioletally reference` from the "
              "tables in the code.\n\n## Settings\n\nA TOML file; `http.port` "
              "stands for `port` in the table `[http]`.\n\n{}\n## Profile "
-             "fields\n\nTOML for the command line, JSON over HTTP.\n\n{}",
+             "fields\n\nTOML for the command line, JSON over HTTP.\n\n{}\n## "
+             "Settings of an entry node on the users' platform\n\nA TOML file, "
+             "filled in from deploy/settings.toml.in.\n\n{}",
              settingsFields().markdown(),
-             core::profiles::profileFields().markdown());
+             core::profiles::profileFields().markdown(),
+             entryFields().markdown());
   return ExitCode::Done;
 }
 
@@ -200,7 +237,9 @@
 
 Usage: orioletally COMMAND [WORDS] [OPTIONS]
 
-  serve               run an entry node
+  serve               run an entry node with the interface of its own
+  entry               run an entry node on the users' platform; its settings
+                      file is --settings or the variable ORIOLETALLY_SETTINGS
   check               check a settings file and the state charts
   profile list | show NAME | create NAME | change NAME | retire NAME
           | history NAME | status REVISION
@@ -222,6 +261,8 @@
   const std::string settings = options["settings"].as<std::string>();
   if (command == "serve")
     return serve(settings);
+  if (command == "entry")
+    return serveEntry(entrySettingsFile(options));
   if (command == "check")
     return check(settings);
   if (command == "keygen")
--- a/main/settings.cpp
+++ b/main/settings.cpp
@@ -103,13 +103,14 @@
   return table;
 }
 
-leaf::result<FieldValues> parseSettings(std::string_view text,
-                                        const std::string &file) {
+leaf::result<FieldValues> parseFields(const FieldTable &table,
+                                      std::string_view text,
+                                      const std::string &file) {
   FlatToml flat;
   return leaf::try_handle_some(
       [&]() -> leaf::result<FieldValues> {
         BOOST_LEAF_ASSIGN(flat, flattenToml(text));
-        return settingsFields().read(flat.Object);
+        return table.read(flat.Object);
       },
       [&](const TomlError &ec) -> leaf::result<FieldValues> {
         return leaf::new_error(SettingsError{file, ec.Line, "", ec.Reason});
@@ -120,6 +121,11 @@
       });
 }
 
+leaf::result<FieldValues> parseSettings(std::string_view text,
+                                        const std::string &file) {
+  return parseFields(settingsFields(), text, file);
+}
+
 leaf::result<std::string> readFile(const std::string &file) {
   std::ifstream in(file, std::ios::binary);
   if (!in)
--- a/main/settings.h
+++ b/main/settings.h
@@ -22,6 +22,11 @@
 /// Returns the declarations of every setting.
 const core::fields::FieldTable &settingsFields();
 
+/// Reads TOML \p text whose keys \p table declares; \p file is named in errors.
+boost::leaf::result<core::fields::FieldValues>
+parseFields(const core::fields::FieldTable &table, std::string_view text,
+            const std::string &file);
+
 /// Reads settings from TOML \p text; \p file is named in errors.
 boost::leaf::result<core::fields::FieldValues>
 parseSettings(std::string_view text, const std::string &file);
