Read the engines' published figures rightly, and a model to try placement in

Change: EngineLoad predicts so; placement weighs the streams that a prompt would hold up. tests/lab plays loads from files against the dispatcher in virtual time (orioletally-lab placement).

--- a/core/engines/engine_load.cpp
+++ b/core/engines/engine_load.cpp
@@ -9,13 +9,15 @@
 /// A prompt whose end isn't heard of is forgotten after this many times its
 /// predicted duration; the message that told of its end was lost.
 constexpr double ForgetFactor = 4;
+/// A prompt comes, on average, in the middle of a pass.
+constexpr double HalfPass = 0.5;
 /// Forgetting waits at least as long as a silent engine is waited for.
 constexpr absl::Duration ForgetSlack = absl::Seconds(3);
 
-/// Time per token while \p prompt is being read beside \p pass per chunk.
-absl::Duration timePerToken(const EngineSpeed &speed, int64_t prompt,
-                            absl::Duration pass) {
-  return (readTime(speed, speed.ChunkTokens, prompt) + pass) /
+/// Time per token while \p prompt is being read. The steps that read are the
+/// same ones in which others write, so reading is as fast beside writers.
+absl::Duration timePerToken(const EngineSpeed &speed, int64_t prompt) {
+  return (readTime(speed, speed.ChunkTokens, prompt) + speed.Step) /
          static_cast<double>(speed.ChunkTokens);
 }
 
@@ -58,8 +60,7 @@
       break;
     if (it.UnreadTokens <= 0)
       continue;
-    const absl::Duration each = timePerToken(
-        speed, it.PromptTokens, passTime(speed, writers(), writingContext()));
+    const absl::Duration each = timePerToken(speed, it.PromptTokens);
     const double read =
         std::min(it.UnreadTokens, absl::FDivDuration(left, each));
     it.UnreadTokens -= read;
@@ -84,20 +85,18 @@
 absl::Duration EngineLoad::predictFirstToken(int64_t tokens, int64_t prompt,
                                              const EngineSpeed &speed,
                                              double pace) const {
-  const int64_t writing = writers();
-  const absl::Duration pass = passTime(speed, writing, writingContext());
-  absl::Duration total = writing > 0 ? pass / 2 : absl::ZeroDuration();
+  absl::Duration total = absl::ZeroDuration();
   for (const RunningPrompt &it : Prompts)
     if (it.UnreadTokens > 0)
-      total += it.UnreadTokens * timePerToken(speed, it.PromptTokens, pass);
-  // Those ahead write while this one is read.
-  const int64_t later = writing + readers();
-  const absl::Duration beside =
-      passTime(speed, later, writingContext() + (later - writing) * prompt);
-  const int64_t chunks = (tokens + speed.ChunkTokens - 1) / speed.ChunkTokens;
-  total +=
-      readTime(speed, tokens, prompt) + static_cast<double>(chunks) * beside;
-  total += passTime(speed, later + 1, writingContext() + prompt);
+      total += it.UnreadTokens * timePerToken(speed, it.PromptTokens);
+  total += static_cast<double>(tokens) * timePerToken(speed, prompt);
+  // Those ahead write by the time that this one is read.
+  const int64_t besides = writers() + readers();
+  if (besides > 0) {
+    const absl::Duration pass = passTime(speed, besides, writingContext());
+    const int64_t passes = (tokens + passTokens(speed) - 1) / passTokens(speed);
+    total += (static_cast<double>(passes) + HalfPass) * pass;
+  }
   return pace * total;
 }
 
--- a/core/engines/engine_load.h
+++ b/core/engines/engine_load.h
@@ -22,6 +22,8 @@
   absl::Time StartedAt;
   /// Tokens still to be read, as estimated at the last advance.
   double UnreadTokens = 0;
+  /// The longest pause between two events that the caller finds in time.
+  absl::Duration Gap = absl::InfiniteDuration();
   /// When the first token was seen or, by estimate, produced.
   absl::Time WritingSince = absl::InfiniteFuture();
 
--- a/core/engines/engine_placement.h
+++ b/core/engines/engine_placement.h
@@ -33,6 +33,8 @@
   absl::Duration Objective;
   /// Time after which the caller has left.
   absl::Duration Patience;
+  /// The longest pause between two events that is in time.
+  absl::Duration Gap = absl::InfiniteDuration();
 };
 
 /// Where a prompt goes.
@@ -58,11 +60,12 @@
 /// Places prompts of very unlike lengths on one fleet of engines.
 ///
 /// Load answered: many short prompts beside few that are 10 to 100 times as
-/// long. An engine on which any request writes reads six times as slowly, so
-/// short prompts gather on engines that write already, as long as they stay
-/// inside their objective there, and long prompts find engines that don't.
-/// The border between the two moves with the load because it is nothing but
-/// the set of engines that short prompts have needed lately.
+/// long. Every stream on an engine pauses while it reads, and the pause for a
+/// long prompt makes all short answers there late. So a prompt's cost at an
+/// engine is its own lateness and that of the streams that it would hold up,
+/// and the two kinds fill the shared order from its two ends. The border
+/// between them moves with the load because nothing but the load makes it.
+/// Prompts that would be late on one engine are read by several idle ones.
 PlacementResult placePrompt(const PromptDemand &demand,
                             absl::Span<const EngineCandidate> engines,
                             const EngineSpeed &speed, absl::BitGenRef random);
--- a/core/engines/engine_speed.cpp
+++ b/core/engines/engine_speed.cpp
@@ -1,5 +1,7 @@
 #include "core/engines/engine_speed.h"
 
+#include <algorithm>
+
 namespace orioletally::core::engines {
 
 namespace {
@@ -27,4 +29,14 @@
   return static_cast<double>(speed.StepsPerPass) * step;
 }
 
+int64_t passTokens(const EngineSpeed &speed) {
+  return speed.ChunkTokens * speed.StepsPerPass;
+}
+
+absl::Duration pauseWhileReading(const EngineSpeed &speed, int64_t tokens,
+                                 int64_t prompt) {
+  return passTime(speed, 1, 0) +
+         readTime(speed, std::min(tokens, passTokens(speed)), prompt);
+}
+
 } // namespace orioletally::core::engines
--- a/core/engines/engine_speed.h
+++ b/core/engines/engine_speed.h
@@ -7,8 +7,10 @@
 namespace orioletally::core::engines {
 
 /// How fast the engines of one service work, as its operator declares it. An
-/// engine works in passes of token steps; prompts are read in chunks between
-/// the steps.
+/// engine works in passes. While any request writes, a pass has StepsPerPass
+/// token steps, and every event of a stream waits for the end of one; otherwise
+/// it has one step. Each step may read a chunk of the prompts that wait, one
+/// prompt after the other, and takes that much longer.
 struct EngineSpeed {
   /// Requests that an engine runs at once.
   int64_t Slots = 16;
@@ -32,16 +34,24 @@
   int64_t UsualAnswerTokens = 256;
 };
 
-/// Time to read \p tokens of a prompt of \p prompt tokens when nothing else
-/// runs, without the steps between the chunks. Pairs are spread evenly.
+/// Time that reading \p tokens of a prompt of \p prompt tokens adds to the
+/// steps in which it is done. Pairs are spread evenly.
 absl::Duration readTime(const EngineSpeed &speed, int64_t tokens,
                         int64_t prompt);
 
-/// Time of the steps that go with one chunk while \p writers requests with
-/// \p contextTokens tokens in all are writing.
+/// Time of a pass by itself, without what is read in it, while \p writers
+/// requests with \p contextTokens tokens in all are writing.
 absl::Duration passTime(const EngineSpeed &speed, int64_t writers,
                         int64_t contextTokens);
 
+/// Tokens of prompts that a pass reads at most while any request writes.
+int64_t passTokens(const EngineSpeed &speed);
+
+/// How long streams that write on an engine pause while it reads a prompt of
+/// \p prompt tokens, \p tokens of it itself.
+absl::Duration pauseWhileReading(const EngineSpeed &speed, int64_t tokens,
+                                 int64_t prompt);
+
 } // namespace orioletally::core::engines
 
 #endif
--- a/core/relay/dispatcher.cpp
+++ b/core/relay/dispatcher.cpp
@@ -180,6 +180,8 @@
       MaxAnswerTokens);
   prompt.Objective = demand.Route->Objective - (now - demand.ArrivedAt);
   prompt.Patience = patience(demand, now);
+  if (demand.Route->GapObjective > absl::ZeroDuration())
+    prompt.Gap = demand.Route->GapObjective;
   const engines::PlacementResult placed =
       engines::placePrompt(prompt, engineViews, speed, Random);
   if (!placed.Choice.has_value())
@@ -193,6 +195,7 @@
   result.Config = demand.Config;
   result.PromptTokens = prompt.PromptTokens;
   result.AnswerTokens = prompt.AnswerTokens;
+  result.Gap = prompt.Gap;
   return result;
 }
 
@@ -242,6 +245,8 @@
   news.ReadTokens = readTokens;
   news.PromptTokens = dispatch.PromptTokens;
   news.AnswerTokens = answerTokens;
+  if (answerTokens > 0 && dispatch.Gap != absl::InfiniteDuration())
+    news.GapMs = absl::ToInt64Milliseconds(dispatch.Gap);
   Tell(news);
 }
 
@@ -258,6 +263,7 @@
   prompt.ReadTokens = part;
   prompt.PromptTokens = dispatch.PromptTokens;
   prompt.AnswerTokens = dispatch.AnswerTokens;
+  prompt.Gap = dispatch.Gap;
   prompt.StartedAt = now;
   dispatch.Server->Load.add(prompt, now, *dispatch.Speed);
   tellPart(dispatch, *dispatch.Server, NewsKind::Sent, part,
@@ -321,6 +327,8 @@
     prompt.ReadTokens = news.ReadTokens;
     prompt.PromptTokens = news.PromptTokens;
     prompt.AnswerTokens = news.AnswerTokens;
+    if (news.GapMs > 0)
+      prompt.Gap = absl::Milliseconds(news.GapMs);
     prompt.StartedAt = now;
     server->Load.add(prompt, now, speed);
     return;
--- a/core/relay/dispatcher.h
+++ b/core/relay/dispatcher.h
@@ -48,6 +48,8 @@
   /// Tokens of the prompt and of the expected answer.
   int64_t PromptTokens = 0;
   int64_t AnswerTokens = 0;
+  /// The longest pause in the answer that is in time.
+  absl::Duration Gap = absl::InfiniteDuration();
   bool IsFirstTokenSeen = false;
 };
 
--- a/core/relay/load_news.h
+++ b/core/relay/load_news.h
@@ -15,11 +15,12 @@
   /// BackendDirectory::hashOf of the engine's id.
   uint64_t EngineHash = 0;
   uint64_t LoadId = 0;
-  /// Tokens that the engine reads; with PromptTokens and AnswerTokens only
-  /// told with Sent.
+  /// Tokens that the engine reads; what follows is only told with Sent.
   int64_t ReadTokens = 0;
   int64_t PromptTokens = 0;
   int64_t AnswerTokens = 0;
+  /// The longest pause in the answer that is in time; 0 for none named.
+  int64_t GapMs = 0;
 };
 
 } // namespace orioletally::core::relay
--- a/drivers/relay/peer_link.cpp
+++ b/drivers/relay/peer_link.cpp
@@ -46,6 +46,7 @@
     message.set_read_tokens(news.ReadTokens);
     message.set_prompt_tokens(news.PromptTokens);
     message.set_answer_tokens(news.AnswerTokens);
+    message.set_gap_ms(news.GapMs);
   }
   return message;
 }
@@ -59,6 +60,7 @@
   news.ReadTokens = message.read_tokens();
   news.PromptTokens = message.prompt_tokens();
   news.AnswerTokens = message.answer_tokens();
+  news.GapMs = message.gap_ms();
   return news;
 }
 
--- a/tests/lab/lab_main.cpp
+++ b/tests/lab/lab_main.cpp
@@ -3,6 +3,7 @@
 #include "tests/lab/load_client.h"
 #include "tests/lab/platform_server.h"
 #include "tests/lab/policy_bench.h"
+#include "tests/lab/relay_model.h"
 #include "tests/lab/service_server.h"
 #include "tests/lab/slopes.h"
 #include "tests/lab/spread.h"
@@ -72,7 +73,8 @@
 
 po::options_description labOptions() {
   po::options_description all(
-      "orioletally-lab platform|engine|service|load|slopes|spread|policy");
+      "orioletally-lab platform|engine|service|load|slopes|spread|policy|"
+      "placement");
   auto add = all.add_options();
   add("help", "show this text");
   add("command", po::value<std::string>());
@@ -86,6 +88,10 @@
                    {3, 8, 64}, "3 8 64"));
   add("picture", po::value<std::string>()->default_value(""),
       "SVG file to write the comparison to (policy)");
+  add("pattern", po::value<std::string>()->default_value(""),
+      "file of tests/lab/loads to play (placement)");
+  add("plays", po::value<int>()->default_value(5),
+      "how often, with other seeds (placement)");
   add("seconds", po::value<int>()->default_value(120));
   add("target", po::value<std::vector<std::string>>()->composing());
   add("direct", "targets are engines, not entry nodes");
@@ -133,6 +139,11 @@
                   options["picture"].as<std::string>());
     return 0;
   }
+  if (command == "placement") {
+    printPlacement(options["pattern"].as<std::string>(),
+                   options["plays"].as<int>(), seed);
+    return 0;
+  }
   if (command == "slopes") {
     printSlopes();
     return 0;
--- /dev/null
+++ b/tests/lab/relay_model.h
@@ -0,0 +1,73 @@
+#ifndef ORIOLETALLY_TESTS_LAB_RELAY_MODEL_H
+#define ORIOLETALLY_TESTS_LAB_RELAY_MODEL_H
+
+#include "core/engines/engine_speed.h"
+
+#include <absl/time/time.h>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace orioletally::lab {
+
+/// One kind of prompt in a load.
+struct PromptKind {
+  std::string Name;
+  double MeanTokens = 5000;
+  /// Standard deviation of the logarithm of the length.
+  double Spread = 0.5;
+  double AnswerTokens = 1600;
+  absl::Duration Objective;
+  absl::Duration Gap;
+  /// What one answer in time counts, for a prompt of mean length.
+  double Worth = 1;
+};
+
+/// Requests a second of each kind, by PromptKind's position, for a while.
+struct LoadPhase {
+  absl::Duration Length;
+  std::vector<double> Rates;
+};
+
+/// A load and the fleet that it comes to; read from tests/lab/loads/*.toml.
+struct LoadPattern {
+  core::engines::EngineSpeed Speed;
+  int Engines = 21;
+  int Nodes = 6;
+  /// Time until a node hears of another's dispatch.
+  absl::Duration NewsLag = absl::Milliseconds(8);
+  std::vector<PromptKind> Kinds;
+  std::vector<LoadPhase> Phases;
+};
+
+/// What became of the prompts of one kind.
+struct KindResult {
+  int64_t Asked = 0;
+  int64_t InTime = 0;
+  int64_t FirstLate = 0;
+  int64_t PauseLate = 0;
+  int64_t Refused = 0;
+  std::vector<double> FirstMs;
+  /// Seen time to the first token over the predicted one.
+  std::vector<double> Ratio;
+  double Earned = 0;
+  double Owed = 0;
+};
+
+/// Returns the pattern in \p file; ends the process with a message when it
+/// can't be read.
+LoadPattern readLoad(const std::string &file);
+
+/// Plays \p pattern in virtual time against the dispatcher of core/relay, one
+/// a node, and engines that follow the published formulas.
+std::vector<KindResult> playLoad(const LoadPattern &pattern, uint64_t seed);
+
+/// Prints what became of each kind over \p plays plays of \p file.
+void printPlacement(const std::string &file, int plays, uint64_t seed);
+
+/// The share of what was owed that was earned.
+double worthOf(const std::vector<KindResult> &results);
+
+} // namespace orioletally::lab
+
+#endif
