--- a/core/engines/engine_load.cpp
+++ b/core/engines/engine_load.cpp
@@ -28,7 +28,14 @@
   advance(now, speed);
   RunningPrompt added = prompt;
   added.UnreadTokens = static_cast<double>(prompt.ReadTokens);
-  Prompts.push_back(added);
+  // Parts are read before prompts that wait, in the order of their coming.
+  auto place = Prompts.end();
+  if (isPart(added))
+    place = std::find_if(Prompts.begin(), Prompts.end(),
+                         [](const RunningPrompt &it) {
+                           return !isPart(it) && it.UnreadTokens > 0;
+                         });
+  Prompts.insert(place, added);
 }
 
 void EngineLoad::firstToken(uint64_t id, absl::Time now,
@@ -90,14 +97,46 @@
     if (it.UnreadTokens > 0)
       total += it.UnreadTokens * timePerToken(speed, it.PromptTokens);
   total += static_cast<double>(tokens) * timePerToken(speed, prompt);
-  // Those ahead write by the time that this one is read.
-  const int64_t besides = writers() + readers();
-  if (besides > 0) {
-    const absl::Duration pass = passTime(speed, besides, writingContext());
-    const int64_t passes = (tokens + passTokens(speed) - 1) / passTokens(speed);
-    total += (static_cast<double>(passes) + HalfPass) * pass;
+  return pace * (total + passWait(tokens, speed));
+}
+
+absl::Duration EngineLoad::predictPart(int64_t tokens, int64_t prompt,
+                                       const EngineSpeed &speed,
+                                       double pace) const {
+  absl::Duration total =
+      static_cast<double>(tokens) * timePerToken(speed, prompt);
+  for (const RunningPrompt &it : Prompts)
+    if (it.UnreadTokens > 0 && isPart(it))
+      total += it.UnreadTokens * timePerToken(speed, it.PromptTokens);
+  return pace * (total + passWait(tokens, speed));
+}
+
+absl::Duration EngineLoad::predictPause(int64_t tokens, int64_t prompt,
+                                        const EngineSpeed &speed) const {
+  auto left = static_cast<double>(passTokens(speed));
+  absl::Duration total = passTime(speed, writers() + 1, writingContext());
+  for (const RunningPrompt &it : Prompts) {
+    const double read = std::min(left, it.UnreadTokens);
+    left -= read;
+    total += readTime(speed, static_cast<int64_t>(read), it.PromptTokens);
   }
-  return pace * total;
+  return total +
+         readTime(speed, std::min(tokens, static_cast<int64_t>(left)), prompt);
+}
+
+absl::Duration EngineLoad::passWait(int64_t tokens,
+                                    const EngineSpeed &speed) const {
+  // Those ahead write by the time that these tokens are read.
+  const int64_t besides = writers() + readers();
+  if (besides == 0)
+    return absl::ZeroDuration();
+  const int64_t passes = (tokens + passTokens(speed) - 1) / passTokens(speed);
+  return (static_cast<double>(passes) + HalfPass) *
+         passTime(speed, besides, writingContext());
+}
+
+bool EngineLoad::isPart(const RunningPrompt &prompt) {
+  return prompt.AnswerTokens == 0;
 }
 
 int64_t EngineLoad::writers() const {
--- a/core/engines/engine_load.h
+++ b/core/engines/engine_load.h
@@ -54,6 +54,15 @@
   absl::Duration predictFirstToken(int64_t tokens, int64_t prompt,
                                    const EngineSpeed &speed, double pace) const;
 
+  /// The same for a helper's part, which is read ahead of other prompts.
+  absl::Duration predictPart(int64_t tokens, int64_t prompt,
+                             const EngineSpeed &speed, double pace) const;
+
+  /// Returns how long the streams on this engine will pause for what it has to
+  /// read and for \p tokens more of a prompt of \p prompt tokens.
+  absl::Duration predictPause(int64_t tokens, int64_t prompt,
+                              const EngineSpeed &speed) const;
+
   /// Requests that write or are expected to.
   int64_t writers() const;
   /// Prompts that still have tokens to read.
@@ -65,6 +74,8 @@
 
 private:
   int64_t writingContext() const;
+  absl::Duration passWait(int64_t tokens, const EngineSpeed &speed) const;
+  static bool isPart(const RunningPrompt &prompt);
 
   /// In the order in which they are read.
   std::vector<RunningPrompt> Prompts;
--- a/core/engines/engine_placement.cpp
+++ b/core/engines/engine_placement.cpp
@@ -2,6 +2,7 @@
 
 #include <absl/random/distributions.h>
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <utility>
 
@@ -19,14 +20,15 @@
 constexpr double EarlyCost = 0.15;
 /// Cost of the wrong end of the shared order: a prompt that goes there keeps
 /// the other kind away.
-constexpr double RankCost = 0.25;
+constexpr double RankCost = 0.6;
 /// A pause that is predicted to take up this share of what a stream bears
 /// makes it late.
 constexpr double SafeGapShare = 0.85;
-/// Weight of a prompt grows with this power of its length: its caller has put
-/// more into it and has nowhere else to take it.
-constexpr double WeightPower = 0.8;
-constexpr double WeightUnitTokens = 5000;
+/// A token of an answer takes an engine about as long as ten of a prompt.
+constexpr double TokensPerAnswerToken = 10;
+/// Size of a usual short prompt with its answer.
+constexpr double WeightUnitTokens = 20000;
+constexpr double LeastWeight = 0.5;
 /// A prompt is short when streams bear its reading: shorter than this share of
 /// the pause that it is allowed itself.
 constexpr double ShortShare = 0.6;
@@ -34,20 +36,21 @@
 constexpr double Jitter = 0.02;
 /// Cost of a second of handicap, in answers.
 constexpr double HandicapCost = 1;
-/// Most helpers that a request may name.
-constexpr size_t MaxHelpers = 15;
-/// Helpers are added until the prediction is below this share of the
-/// objective.
-constexpr double HelpedShare = 0.45;
+/// Numbers of helpers that are tried; a request may name 16.
+constexpr std::array<size_t, 8> HelperCounts = {0, 1, 2, 3, 5, 7, 11, 15};
+/// Cost of each helper: the prompts that come there wait longer.
+constexpr double HelperCost = 0.02;
 /// Part of an engine's memory that is filled; the rest holds answers that
 /// turn out longer than announced.
 constexpr double MemoryShare = 0.95;
 /// Slots that are left free for dispatches that this node doesn't know of.
 constexpr int64_t SpareSlots = 2;
 
-double weightOf(int64_t tokens) {
-  return std::pow(std::max(1.0, static_cast<double>(tokens) / WeightUnitTokens),
-                  WeightPower);
+/// What an answer in time counts for, in short ones.
+double weightOf(int64_t promptTokens, int64_t answerTokens) {
+  const auto size = static_cast<double>(promptTokens) +
+                    TokensPerAnswerToken * static_cast<double>(answerTokens);
+  return std::max(LeastWeight, size / WeightUnitTokens);
 }
 
 /// Cost of a first token after \p predicted, in answers.
@@ -65,7 +68,7 @@
   Placement(const PromptDemand &demand,
             absl::Span<const EngineCandidate> engines, const EngineSpeed &speed)
       : Demand(demand), Engines(engines), Speed(speed),
-        Weight(weightOf(demand.PromptTokens)),
+        Weight(weightOf(demand.PromptTokens, demand.AnswerTokens)),
         Short(
             pauseWhileReading(speed, demand.PromptTokens, demand.PromptTokens) <
             ShortShare * demand.Gap) {}
@@ -79,18 +82,20 @@
     std::optional<EngineChoice> best;
     double bestCost = 0;
     absl::Duration soonest = absl::InfiniteDuration();
-    for (size_t n = 0; n < Engines.size(); ++n) {
-      EngineChoice choice;
-      choice.Engine = n;
-      choice.PredictedFirstToken = predict(n, Demand.PromptTokens);
-      soonest = std::min(soonest, choice.PredictedFirstToken);
-      addHelpers(choice);
-      const double cost =
-          costOf(choice) + Jitter * absl::Uniform(random, 0.0, 1.0);
-      if (best.has_value() && cost >= bestCost)
-        continue;
-      bestCost = cost;
-      best = std::move(choice);
+    for (const size_t helpers : HelperCounts) {
+      if (helpers > 0 && (Short || helpers >= Engines.size()))
+        break;
+      const std::vector<size_t> order = helperOrder(helpers);
+      for (size_t n = 0; n < Engines.size(); ++n) {
+        EngineChoice choice = choiceOf(n, helpers, order);
+        soonest = std::min(soonest, choice.PredictedFirstToken);
+        const double cost =
+            costOf(choice) + Jitter * absl::Uniform(random, 0.0, 1.0);
+        if (best.has_value() && cost >= bestCost)
+          continue;
+        bestCost = cost;
+        best = std::move(choice);
+      }
     }
     if (best.has_value() && best->PredictedFirstToken > Demand.Patience) {
       result.Refusal.ComeBackIn =
@@ -102,10 +107,59 @@
   }
 
 private:
-  absl::Duration predict(size_t n, int64_t tokens) const {
+  /// A slower engine would hold up the rest.
+  static constexpr double MaxHelperPace = 1.5;
+
+  int64_t partOf(size_t helpers) const {
+    const auto parts = static_cast<int64_t>(helpers) + 1;
+    return (Demand.PromptTokens + parts - 1) / parts;
+  }
+
+  absl::Duration predictHelper(size_t n, int64_t part) const {
+    const EngineCandidate &it = Engines[n];
+    return it.Load->predictPart(part, Demand.PromptTokens, Speed, it.Pace);
+  }
+
+  /// Engines in the order in which they are taken for one of \p helpers parts.
+  std::vector<size_t> helperOrder(size_t helpers) const {
+    std::vector<std::pair<double, size_t>> costs;
+    if (helpers == 0)
+      return {};
+    const int64_t part = partOf(helpers);
+    for (size_t n = 0; n < Engines.size(); ++n) {
+      if (Engines[n].Pace > MaxHelperPace)
+        continue;
+      const double used =
+          absl::FDivDuration(predictHelper(n, part), Demand.Objective);
+      costs.emplace_back(harmOf(n, part) + Weight * used +
+                             RankCost * (1 - Engines[n].Rank) + handicapCost(n),
+                         n);
+    }
+    std::sort(costs.begin(), costs.end());
+    std::vector<size_t> order;
+    for (const auto &[cost, n] : costs)
+      order.push_back(n);
+    return order;
+  }
+
+  EngineChoice choiceOf(size_t n, size_t helpers,
+                        const std::vector<size_t> &order) const {
     const EngineCandidate &it = Engines[n];
-    return it.Load->predictFirstToken(tokens, Demand.PromptTokens, Speed,
-                                      it.Pace);
+    const int64_t part = partOf(helpers);
+    EngineChoice choice;
+    choice.Engine = n;
+    choice.PredictedFirstToken =
+        it.Load->predictFirstToken(part, Demand.PromptTokens, Speed, it.Pace);
+    for (const size_t helper : order) {
+      if (choice.Helpers.size() >= helpers)
+        break;
+      if (helper == n)
+        continue;
+      choice.Helpers.push_back(helper);
+      choice.PredictedFirstToken =
+          std::max(choice.PredictedFirstToken, predictHelper(helper, part));
+    }
+    return choice;
   }
 
   bool hasRoom(size_t n) const {
@@ -120,56 +174,36 @@
 
   /// Answers that become late on engine \p n because it reads \p tokens.
   double harmOf(size_t n, int64_t tokens) const {
-    const absl::Duration pause =
-        pauseWhileReading(Speed, tokens, Demand.PromptTokens);
+    const EngineLoad &load = *Engines[n].Load;
+    const absl::Duration before = load.predictPause(0, 0, Speed);
+    const absl::Duration after =
+        load.predictPause(tokens, Demand.PromptTokens, Speed);
     double harm = 0;
-    for (const RunningPrompt &it : Engines[n].Load->prompts())
-      if (it.AnswerTokens > 0 && pause > SafeGapShare * it.Gap)
-        harm += weightOf(it.PromptTokens);
+    for (const RunningPrompt &it : load.prompts()) {
+      const absl::Duration bearable = SafeGapShare * it.Gap;
+      if (it.AnswerTokens > 0 && before <= bearable && after > bearable)
+        harm += weightOf(it.PromptTokens, it.AnswerTokens);
+    }
     return harm;
   }
 
-  int64_t partOf(const EngineChoice &choice) const {
-    const auto parts = static_cast<int64_t>(choice.Helpers.size()) + 1;
-    return (Demand.PromptTokens + parts - 1) / parts;
+  double handicapCost(size_t n) const {
+    return HandicapCost * Weight * absl::ToDoubleSeconds(Engines[n].Handicap);
   }
 
   double costOf(const EngineChoice &choice) const {
     const EngineCandidate &it = Engines[choice.Engine];
+    const int64_t part = partOf(choice.Helpers.size());
     double cost =
         Weight * lateCost(choice.PredictedFirstToken, Demand.Objective) +
-        harmOf(choice.Engine, partOf(choice)) +
-        HandicapCost * Weight * absl::ToDoubleSeconds(it.Handicap);
+        harmOf(choice.Engine, part) + handicapCost(choice.Engine);
+    for (const size_t helper : choice.Helpers)
+      cost += harmOf(helper, part) + HelperCost;
     if (!hasRoom(choice.Engine))
       cost += Weight;
-    const double wrongEnd = Short ? it.Rank : 1 - it.Rank;
-    return cost + RankCost * wrongEnd;
+    return cost + RankCost * (Short ? it.Rank : 1 - it.Rank);
   }
 
-  /// Shares the reading of a prompt that would be late, or nearly, among
-  /// engines that have nothing to do.
-  void addHelpers(EngineChoice &choice) const {
-    if (Short || choice.PredictedFirstToken <= HelpedShare * Demand.Objective)
-      return;
-    for (size_t n = Engines.size(); n-- > 0;) {
-      if (choice.Helpers.size() >= MaxHelpers ||
-          choice.PredictedFirstToken <= HelpedShare * Demand.Objective)
-        return;
-      if (n == choice.Engine || !Engines[n].Load->isIdle() ||
-          Engines[n].Pace > MaxHelperPace)
-        continue;
-      choice.Helpers.push_back(n);
-      const int64_t part = partOf(choice);
-      absl::Duration last = predict(choice.Engine, part);
-      for (const size_t helper : choice.Helpers)
-        last = std::max(last, predict(helper, part));
-      choice.PredictedFirstToken = last;
-    }
-  }
-
-  /// A slower engine would hold up the rest.
-  static constexpr double MaxHelperPace = 1.5;
-
   const PromptDemand &Demand;
   absl::Span<const EngineCandidate> Engines;
   const EngineSpeed &Speed;
--- a/tests/lab/relay_model.cpp
+++ b/tests/lab/relay_model.cpp
@@ -85,7 +85,12 @@
       : Time(wanted), Speed(speed) {}
 
   void submit(std::shared_ptr<Work> work) {
-    Readers.push_back(std::move(work));
+    // Helpers' parts are read ahead of other prompts.
+    auto place = Readers.end();
+    if (work->Events == 0)
+      place = std::find_if(Readers.begin(), Readers.end(),
+                           [](const auto &it) { return it->Events > 0; });
+    Readers.insert(place, std::move(work));
     if (!std::exchange(IsRunning, true))
       pass();
   }
