Believe engines behind that haven't shown a first token

Change: a prompt counts as partly unread until its first token is seen; silence bounds follow what callers bear (two seconds at least), and a dead path is found by its connection: probes now find it in two seconds.

--- a/core/engines/engine_load.cpp
+++ b/core/engines/engine_load.cpp
@@ -14,6 +14,20 @@
 /// Forgetting waits at least as long as a silent engine is waited for.
 constexpr absl::Duration ForgetSlack = absl::Seconds(3);
 
+/// A first token that hasn't come after this won't: callers are gone by then.
+constexpr absl::Duration LongestRead = absl::Seconds(20);
+/// Part of a prompt that counts as unread until its first token has come.
+constexpr double UnconfirmedShare = 0.1;
+
+/// Tokens of \p prompt that are taken as unread until its first token shows
+/// otherwise. A prompt that others help to read may be read and still wait.
+double unconfirmed(const RunningPrompt &prompt) {
+  const bool isAlone = prompt.ReadTokens == prompt.PromptTokens;
+  return prompt.AnswerTokens > 0 && isAlone
+             ? UnconfirmedShare * static_cast<double>(prompt.ReadTokens)
+             : 0;
+}
+
 /// Time per token while \p prompt is being read. The steps that read are the
 /// same ones in which others write, so reading is as fast beside writers.
 absl::Duration timePerToken(const EngineSpeed &speed, int64_t prompt) {
@@ -68,18 +82,20 @@
     if (it.UnreadTokens <= 0)
       continue;
     const absl::Duration each = timePerToken(speed, it.PromptTokens);
-    const double read =
-        std::min(it.UnreadTokens, absl::FDivDuration(left, each));
+    const double readable = std::max(0.0, it.UnreadTokens - unconfirmed(it));
+    const double read = std::min(readable, absl::FDivDuration(left, each));
     it.UnreadTokens -= read;
     left -= read * each;
-    if (it.UnreadTokens <= 0 && it.AnswerTokens > 0)
-      it.WritingSince = now - left;
+    // What comes next isn't read before this one's first token shows that
+    // the engine has got so far.
+    if (it.UnreadTokens > 0)
+      break;
   }
   std::erase_if(Prompts, [&](const RunningPrompt &it) {
     if (it.AnswerTokens == 0 && it.UnreadTokens <= 0)
       return true;
     if (!it.isWriting())
-      return false;
+      return now - it.StartedAt > LongestRead;
     const absl::Duration writing =
         static_cast<double>(it.AnswerTokens) /
         static_cast<double>(speed.StepsPerPass) *
--- a/core/relay/silence_bound.cpp
+++ b/core/relay/silence_bound.cpp
@@ -7,12 +7,13 @@
 namespace {
 
 /// Predictions were seen to be wrong by this factor while engines are busy.
-constexpr double PredictionFactor = 2;
-/// Two passes of a full engine with a chunk of a prompt in each.
-constexpr absl::Duration PredictionSlack = absl::Milliseconds(600);
+constexpr double PredictionFactor = 3;
+/// The longest pass of an engine that reads a long prompt.
+constexpr absl::Duration PredictionSlack = absl::Milliseconds(1200);
 /// Callers wait for a first event for four times its objective; a move in the
-/// first of these only repeats work.
-constexpr double ObjectiveFactor = 1.25;
+/// first half of that mostly repeats work. A dead path is found sooner, by its
+/// connection.
+constexpr double ObjectiveFactor = 2;
 /// A plain answer that takes longer than this share of its objective is late
 /// anyhow if it is moved after it.
 constexpr double PlainShare = 1.5;
@@ -21,8 +22,8 @@
 /// be silent.
 constexpr double AnsweringFactor = 2;
 /// Callers leave after eight times the objective for pauses.
-constexpr double GapFactor = 4;
-constexpr absl::Duration LeastGapBound = absl::Milliseconds(800);
+constexpr double GapFactor = 6;
+constexpr absl::Duration LeastGapBound = absl::Milliseconds(1200);
 
 } // namespace
 
--- a/drivers/loop/endpoint.cpp
+++ b/drivers/loop/endpoint.cpp
@@ -15,10 +15,10 @@
 /// Unacknowledged bytes end a connection after this; half of the shortest time
 /// that a caller of a stream waits.
 constexpr int UnacknowledgedMs = 1000;
-/// Idle paths are probed so that a silent one is found within three seconds.
+/// Idle paths are probed so that a silent one is found within two seconds.
 constexpr int ProbeAfterSeconds = 1;
 constexpr int ProbeEverySeconds = 1;
-constexpr int ProbesLost = 2;
+constexpr int ProbesLost = 1;
 
 void setOption(asio::ip::tcp::socket &socket, int level, int name, int value) {
   // Failing to set one only makes detection slower; the call's own bounds hold.
