Predict the wait for a slot, and test the relay on stand-ins

Change: a full engine's prediction includes the wait for a slot; harm to streams counts twice, for those that come during the pause.

--- a/core/engines/engine_load.cpp
+++ b/core/engines/engine_load.cpp
@@ -113,7 +113,7 @@
     if (it.UnreadTokens > 0)
       total += it.UnreadTokens * timePerToken(speed, it.PromptTokens);
   total += static_cast<double>(tokens) * timePerToken(speed, prompt);
-  return pace * (total + passWait(tokens, speed));
+  return pace * (total + passWait(tokens, speed) + slotWait(speed));
 }
 
 absl::Duration EngineLoad::predictPart(int64_t tokens, int64_t prompt,
@@ -159,6 +159,24 @@
          passTime(speed, besides, writingContext());
 }
 
+absl::Duration EngineLoad::slotWait(const EngineSpeed &speed) const {
+  int64_t running = 0;
+  int64_t answerTokens = 0;
+  for (const RunningPrompt &it : Prompts) {
+    running += it.AnswerTokens > 0 ? 1 : 0;
+    answerTokens += it.AnswerTokens;
+  }
+  if (running < speed.Slots)
+    return absl::ZeroDuration();
+  const double passes = static_cast<double>(answerTokens) /
+                        static_cast<double>(running * speed.StepsPerPass);
+  const absl::Duration answer =
+      passes * passTime(speed, speed.Slots, writingContext());
+  // On average one of the slots is freed after its share of an answer.
+  return static_cast<double>(running - speed.Slots + 1) /
+         static_cast<double>(speed.Slots) * answer;
+}
+
 bool EngineLoad::isPart(const RunningPrompt &prompt) {
   return prompt.AnswerTokens == 0;
 }
--- a/core/engines/engine_load.h
+++ b/core/engines/engine_load.h
@@ -75,6 +75,7 @@
 private:
   int64_t writingContext() const;
   absl::Duration passWait(int64_t tokens, const EngineSpeed &speed) const;
+  absl::Duration slotWait(const EngineSpeed &speed) const;
   static bool isPart(const RunningPrompt &prompt);
 
   /// In the order in which they are read.
--- a/core/engines/engine_placement.cpp
+++ b/core/engines/engine_placement.cpp
@@ -29,6 +29,9 @@
 /// Size of a usual short prompt with its answer.
 constexpr double WeightUnitTokens = 20000;
 constexpr double LeastWeight = 0.5;
+/// Prompts that come during a long pause are late as well and fill the engine
+/// up behind it.
+constexpr double HarmFactor = 2;
 /// A prompt is short when streams bear its reading: shorter than this share of
 /// the pause that it is allowed itself.
 constexpr double ShortShare = 0.6;
@@ -184,7 +187,7 @@
       if (it.AnswerTokens > 0 && before <= bearable && after > bearable)
         harm += weightOf(it.PromptTokens, it.AnswerTokens);
     }
-    return harm;
+    return HarmFactor * harm;
   }
 
   double handicapCost(size_t n) const {
--- /dev/null
+++ b/tests/platform/test_relay.cpp
@@ -0,0 +1,374 @@
+#include "tests/support/relay_fixture.h"
+
+#include <csignal>
+#include <fmt/format.h>
+#include <thread>
+
+// Last: it defines a macro called new.
+#include <CppUTest/TestHarness.h>
+
+using namespace orioletally;
+using namespace orioletally::tests;
+
+namespace {
+
+std::string events(int from, int to) {
+  std::string out;
+  for (int id = from; id <= to; ++id)
+    out += fmt::format("id: {}\ndata: x\n\n", id);
+  return out;
+}
+
+constexpr const char *NotExecuted =
+    "HTTP/1.1 503 X\r\nX-Orioletally-Attempt-Id: {id}\r\n"
+    "X-Orioletally-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+constexpr const char *ServerError =
+    "HTTP/1.1 500 X\r\nX-Orioletally-Attempt-Id: {id}\r\n"
+    "X-Orioletally-Response-Signature: bad\r\nContent-Length: 3\r\n\r\nerr";
+
+} // namespace
+
+TEST_GROUP(Relay) {
+  RelayFixture fixture;
+
+  void setup() override { fixture.configure(1); }
+};
+
+TEST(Relay, PassesACallAndItsAnswerOnUnchanged) {
+  StandInBackend backend(scripts::answer("hello"));
+  fixture.list("i-1", "plain", backend.address());
+  CHECK(fixture.start(1));
+  const CallerAnswer answer = fixture.call(
+      "POST", "/read/x?q=1",
+      "X-Other: kept\r\nX-Orioletally-Tenant: south\r\n"
+      "X-Orioletally-Deadline-Ms: 800\r\nConnection: X-Drop\r\nX-Drop: 1\r\n",
+      "body");
+  LONGS_EQUAL(200, answer.Status);
+  STRCMP_EQUAL("hello", answer.Body.c_str());
+  STRCMP_EQUAL("sig",
+               answer.header("x-orioletally-response-signature").c_str());
+  const lab::RawRequest sent = backend.lastRequest();
+  STRCMP_EQUAL("POST", sent.Method.c_str());
+  STRCMP_EQUAL("/read/x?q=1", sent.Target.c_str());
+  STRCMP_EQUAL("body", sent.Body.c_str());
+  STRCMP_EQUAL("kept", sent.header("x-other").c_str());
+  STRCMP_EQUAL("north", sent.header("x-orioletally-tenant").c_str());
+  STRCMP_EQUAL("i-1", sent.header("x-orioletally-expect-instance").c_str());
+  STRCMP_EQUAL("", sent.header("authorization").c_str());
+  STRCMP_EQUAL("", sent.header("x-drop").c_str());
+  const int wait = std::atoi(sent.header("x-orioletally-deadline-ms").c_str());
+  CHECK(wait > 0 && wait <= 800);
+}
+
+TEST(Relay, MalformedCallsReachNoBackendServer) {
+  StandInBackend backend(scripts::answer("hello"));
+  fixture.list("i-1", "plain", backend.address());
+  CHECK(fixture.start(1));
+  const std::string longHeader(5'000, 'x');
+  const std::string headers =
+      "Host: a.example\r\nAuthorization: Token key-n\r\n"
+      "X-Orioletally-Attempt-Id: m\r\n";
+  const std::vector<std::pair<std::string, int>> cases = {
+      {"NONSENSE\r\n\r\n", 400},
+      {"GET /read/x HTTP/1.1\n" + headers + "\n", 400},
+      {"GET read/x HTTP/1.1\r\n" + headers + "\r\n", 400},
+      {"GET http://a.example/read/x HTTP/1.1\r\n" + headers + "\r\n", 400},
+      {"GET /read/x HTTP/1.1\r\nHost : a.example\r\n\r\n", 400},
+      {"GET /read/x HTTP/1.1\r\n" + headers + "Host: b.example\r\n\r\n", 400},
+      {"GET /read/x HTTP/1.1\r\nAuthorization: Token key-n\r\n\r\n", 400},
+      {"POST /read/x HTTP/1.1\r\n" + headers +
+           "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+       400},
+      {"POST /read/x HTTP/1.1\r\n" + headers +
+           "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+       400},
+      {"POST /read/x HTTP/1.1\r\n" + headers +
+           "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n",
+       400},
+      {"POST /read/x HTTP/1.1\r\n" + headers +
+           "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+       400},
+      {"POST /read/x HTTP/1.1\r\n" + headers + "Content-Length: -1\r\n\r\n",
+       400},
+      {"POST /read/x HTTP/1.1\r\n" + headers +
+           "Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n",
+       400},
+      {"GET /read/x HTTP/1.1\r\n" + headers + "X-Long: " + longHeader +
+           "\r\n\r\n",
+       431},
+      {"POST /read/x HTTP/1.1\r\n" + headers + "Content-Length: 10001\r\n\r\n",
+       413},
+  };
+  for (const auto &[text, status] : cases) {
+    const CallerAnswer answer = fixture.raw(text);
+    CHECK_EQUAL_TEXT(status, answer.Status, text.substr(0, 80).c_str());
+  }
+  LONGS_EQUAL(0, backend.attempts());
+}
+
+TEST(Relay, RoutesAndKeysAreTheConfigurations) {
+  StandInBackend backend(scripts::answer("hello"));
+  fixture.list("i-1", "plain", backend.address());
+  CHECK(fixture.start(1));
+  LONGS_EQUAL(404, fixture.call("GET", "/none/x").Status);
+  LONGS_EQUAL(
+      401,
+      fixture.call("GET", "/read/x", "Authorization: Token no\r\n").Status);
+  fixture.configure(2, "/none/");
+  CHECK(within(2'000,
+               [&] { return fixture.call("GET", "/none/x").Status == 200; }));
+  // An older version, or an unreadable one, changes nothing.
+  fixture.configure(1);
+  fixture.Store.put("op", "config", "{\"version\":9,\"routes\":7}");
+  CHECK(fixture.Process
+            .waitEvent("row_rejected", std::chrono::milliseconds(2'000))
+            .has_value());
+  LONGS_EQUAL(200, fixture.call("GET", "/none/x").Status);
+}
+
+TEST(Relay, ANodeWithoutAConfigurationSaysSo) {
+  fixture.Store.setFault(lab::StoreFault::Refuse);
+  CHECK_FALSE(fixture.start(0));
+  const CallerAnswer answer = fixture.call("GET", "/read/x");
+  LONGS_EQUAL(503, answer.Status);
+  CHECK_FALSE(answer.header("retry-after").empty());
+}
+
+TEST(Relay, AnIdempotentCallIsMovedAfterAFailure) {
+  StandInBackend bad(scripts::bytes(ServerError, false));
+  StandInBackend good(scripts::answer("good"));
+  fixture.list("i-1", "plain", bad.address());
+  fixture.list("i-2", "plain", good.address());
+  CHECK(fixture.start(2));
+  for (int n = 0; n < 10; ++n) {
+    const CallerAnswer answer = fixture.call("GET", "/read/x");
+    LONGS_EQUAL(200, answer.Status);
+    STRCMP_EQUAL("good", answer.Body.c_str());
+  }
+}
+
+TEST(Relay, AnUnrepeatableCallIsSentOnceAndItsFailurePassedOn) {
+  StandInBackend bad(scripts::bytes(ServerError, false));
+  StandInBackend other(scripts::bytes(ServerError, false));
+  fixture.list("i-1", "plain", bad.address());
+  fixture.list("i-2", "plain", other.address());
+  CHECK(fixture.start(2));
+  const CallerAnswer answer = fixture.call("POST", "/write/x", "", "b");
+  LONGS_EQUAL(500, answer.Status);
+  STRCMP_EQUAL("bad",
+               answer.header("x-orioletally-response-signature").c_str());
+  LONGS_EQUAL(1, bad.attempts() + other.attempts());
+}
+
+TEST(Relay, AnUnrepeatableCallWhoseAnswerIsLostIsNotPromisedToHaveNotRun) {
+  StandInBackend backend(scripts::bytes("", true));
+  fixture.list("i-1", "plain", backend.address());
+  CHECK(fixture.start(1));
+  const CallerAnswer answer = fixture.call("POST", "/write/x", "", "b");
+  LONGS_EQUAL(502, answer.Status);
+  CHECK(answer.header("retry-after").empty());
+  LONGS_EQUAL(1, backend.attempts());
+}
+
+TEST(Relay, ARefusedCallIsToldThatItDidNotRunAndWhenToComeBack) {
+  StandInBackend backend(scripts::bytes(NotExecuted, false));
+  fixture.list("i-1", "plain", backend.address());
+  CHECK(fixture.start(1));
+  const CallerAnswer answer = fixture.call("POST", "/write/x", "", "b");
+  LONGS_EQUAL(503, answer.Status);
+  CHECK(std::atof(answer.header("retry-after").c_str()) > 0);
+}
+
+TEST(Relay, BrokenAnswersNeverLookWhole) {
+  const char *texts[] = {
+      // Cut short of its length.
+      "HTTP/1.1 200 OK\r\nX-Orioletally-Attempt-Id: {id}\r\n"
+      "X-Orioletally-Response-Signature: s\r\nContent-Length: 9\r\n\r\nabc",
+      // Not HTTP.
+      "garbage garbage\r\n\r\n",
+      // Another attempt's answer.
+      "HTTP/1.1 200 OK\r\nX-Orioletally-Attempt-Id: other\r\n"
+      "X-Orioletally-Response-Signature: s\r\nContent-Length: 1\r\n\r\na",
+      // No proof that it is the backend server's.
+      "HTTP/1.1 200 OK\r\nX-Orioletally-Attempt-Id: {id}\r\n"
+      "Content-Length: 1\r\n\r\na",
+      // A promise that the backend server didn't make.
+      "HTTP/1.1 503 X\r\nX-Orioletally-Attempt-Id: {id}\r\n"
+      "Content-Length: 0\r\n\r\n"};
+  int n = 0;
+  for (const char *text : texts) {
+    RelayFixture own;
+    own.configure(1);
+    StandInBackend backend(scripts::bytes(text, true));
+    own.list("i-1", "plain", backend.address());
+    CHECK(own.start(1));
+    const CallerAnswer answer = own.call("POST", "/write/x", "", "b");
+    CHECK_EQUAL_TEXT(502, answer.Status, text);
+    ++n;
+  }
+  LONGS_EQUAL(5, n);
+}
+
+TEST(Relay, BytesAfterAnAnswerBelongToNoCall) {
+  StandInBackend backend(scripts::bytes(
+      "HTTP/1.1 200 OK\r\nX-Orioletally-Attempt-Id: {id}\r\n"
+      "X-Orioletally-Response-Signature: s\r\nContent-Length: 1\r\n\r\naHTTP/"
+      "1.1 200 OK\r\nX-Orioletally-Attempt-Id: x\r\nContent-Length: 1\r\n\r\nz",
+      false));
+  fixture.list("i-1", "plain", backend.address());
+  CHECK(fixture.start(1));
+  for (int n = 0; n < 5; ++n) {
+    const CallerAnswer answer = fixture.call(
+        "GET", "/read/x", fmt::format("X-Orioletally-Attempt-Id: e{}\r\n", n));
+    LONGS_EQUAL(200, answer.Status);
+    STRCMP_EQUAL("a", answer.Body.c_str());
+  }
+}
+
+TEST(Relay, AStreamGoesOnAtAnotherEngineWithoutLossOrRepeat) {
+  StandInBackend broken(scripts::brokenStream(3));
+  StandInBackend rest(scripts::stream(4, 6, 5));
+  fixture.list("i-1", "engine", broken.address());
+  fixture.list("i-2", "engine", rest.address());
+  CHECK(fixture.start(2));
+  // Which engine is asked first is the node's choice; both ways must be whole.
+  const CallerAnswer answer =
+      fixture.call("POST", "/ask/x", "X-Orioletally-Token-Counts: 10,10\r\n");
+  LONGS_EQUAL(200, answer.Status);
+  CHECK(answer.IsWhole);
+  if (broken.attempts() > 0) {
+    STRCMP_EQUAL(events(1, 6).c_str(), answer.Body.c_str());
+    STRCMP_EQUAL("3", rest.lastRequest().header("last-event-id").c_str());
+  } else {
+    STRCMP_EQUAL(events(4, 6).c_str(), answer.Body.c_str());
+  }
+}
+
+TEST(Relay, AStreamThatMayNotBeResumedBreaksOff) {
+  StandInBackend broken(scripts::brokenStream(3));
+  StandInBackend other(scripts::brokenStream(3));
+  fixture.list("i-1", "engine", broken.address());
+  fixture.list("i-2", "engine", other.address());
+  CHECK(fixture.start(2));
+  const CallerAnswer answer = fixture.call("POST", "/once/x");
+  LONGS_EQUAL(200, answer.Status);
+  CHECK_FALSE(answer.IsWhole);
+  STRCMP_EQUAL(events(1, 3).c_str(), answer.Body.c_str());
+  LONGS_EQUAL(1, broken.attempts() + other.attempts());
+}
+
+TEST(Relay, ASilentEngineLosesItsCallBeforeTheCallerLeaves) {
+  StandInBackend silent(scripts::silence());
+  StandInBackend good(scripts::stream(1, 3, 5));
+  fixture.list("i-1", "engine", silent.address());
+  fixture.list("i-2", "engine", good.address());
+  CHECK(fixture.start(2));
+  for (int n = 0; n < 4; ++n) {
+    const auto from = std::chrono::steady_clock::now();
+    const CallerAnswer answer = fixture.call("POST", "/ask/x");
+    LONGS_EQUAL(200, answer.Status);
+    STRCMP_EQUAL(events(1, 3).c_str(), answer.Body.c_str());
+    CHECK(std::chrono::steady_clock::now() - from <
+          std::chrono::milliseconds(2'000));
+  }
+}
+
+TEST(Relay, TheFinalAnswerComesAtTheRoutesTimeLimit) {
+  StandInBackend silent(scripts::silence());
+  fixture.list("i-1", "plain", silent.address());
+  CHECK(fixture.start(1));
+  const auto from = std::chrono::steady_clock::now();
+  const CallerAnswer answer = fixture.call("POST", "/write/x", "", "b");
+  const auto took = std::chrono::steady_clock::now() - from;
+  LONGS_EQUAL(504, answer.Status);
+  CHECK(took > std::chrono::milliseconds(900));
+  CHECK(took < std::chrono::milliseconds(1'250));
+}
+
+TEST(Relay, ACallersCloseFreesTheBackendServerAtOnce) {
+  std::atomic<bool> isFreed = false;
+  StandInBackend engine(
+      [&](const lab::RawRequest &, const lab::RawConnection &out) {
+        isFreed = out.closesWithin(3'000);
+        return false;
+      });
+  fixture.list("i-1", "engine", engine.address());
+  CHECK(fixture.start(1));
+  auto caller = lab::connectTo(fixture.Calls);
+  caller->write("POST /ask/x HTTP/1.1\r\nHost: a.example\r\nAuthorization: "
+                "Token key-n\r\nX-Orioletally-Attempt-Id: gone\r\n"
+                "Content-Length: 1\r\n\r\nx");
+  CHECK(within(2'000, [&] { return engine.attempts() == 1; }));
+  caller.reset();
+  CHECK(within(500, [&] { return isFreed.load(); }));
+  STRCMP_EQUAL(
+      "caller_gone",
+      fixture.logOf("gone")["attempts"][0]["end"].get<std::string>().c_str());
+}
+
+TEST(Relay, ABackendServerThatIsGoneGetsNothingMore) {
+  StandInBackend leaving(scripts::answer("leaving"));
+  StandInBackend staying(scripts::answer("staying"));
+  fixture.list("i-1", "plain", leaving.address());
+  fixture.list("i-2", "plain", staying.address());
+  CHECK(fixture.start(2));
+  fixture.list("i-1", "plain", leaving.address(), "draining");
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  const int before = leaving.attempts();
+  for (int n = 0; n < 10; ++n)
+    STRCMP_EQUAL("staying", fixture.call("GET", "/read/x").Body.c_str());
+  LONGS_EQUAL(before, leaving.attempts());
+}
+
+TEST(Relay, AnAddressInOtherHandsIsNotUsedAgain) {
+  StandInBackend wrong(
+      scripts::bytes("HTTP/1.1 421 X\r\nX-Orioletally-Instance-Id: i-9\r\n"
+                     "Content-Length: 0\r\n\r\n",
+                     false));
+  StandInBackend right(scripts::answer("right"));
+  fixture.list("i-1", "plain", wrong.address());
+  fixture.list("i-2", "plain", right.address());
+  CHECK(fixture.start(2));
+  for (int n = 0; n < 10; ++n)
+    STRCMP_EQUAL("right",
+                 fixture.call("POST", "/write/x", "", "b").Body.c_str());
+  CHECK(wrong.attempts() <= 1);
+}
+
+TEST(Relay, ServesOnWhileTheStoreIsAway) {
+  for (const lab::StoreFault fault :
+       {lab::StoreFault::Refuse, lab::StoreFault::Silence,
+        lab::StoreFault::Reset}) {
+    RelayFixture own;
+    own.configure(1);
+    StandInBackend backend(scripts::answer("hello"));
+    own.list("i-1", "plain", backend.address());
+    CHECK(own.start(1));
+    own.Store.setFault(fault);
+    CHECK(own.Process.waitEvent("store_lost", std::chrono::seconds(5))
+              .has_value());
+    LONGS_EQUAL(200, own.call("GET", "/read/x").Status);
+    CHECK(own.isReady());
+    own.configure(2, "/new/");
+    own.Store.compact();
+    own.Store.setFault(lab::StoreFault::None);
+    CHECK(
+        within(2'000, [&] { return own.call("GET", "/new/x").Status == 200; }));
+  }
+}
+
+TEST(Relay, SigtermCutsNothingOff) {
+  StandInBackend engine(scripts::stream(1, 20, 100));
+  fixture.list("i-1", "engine", engine.address());
+  CHECK(fixture.start(1));
+  CallerAnswer answer;
+  std::thread caller([&] { answer = fixture.call("POST", "/ask/x"); });
+  CHECK(within(2'000, [&] { return engine.attempts() == 1; }));
+  fixture.Process.signal(SIGTERM);
+  CHECK(within(1'000, [&] { return !fixture.isReady(); }));
+  caller.join();
+  LONGS_EQUAL(200, answer.Status);
+  CHECK(answer.IsWhole);
+  STRCMP_EQUAL(events(1, 20).c_str(), answer.Body.c_str());
+  LONGS_EQUAL(0, fixture.Process.waitExit(std::chrono::seconds(8)));
+}
--- /dev/null
+++ b/tests/support/relay_fixture.cpp
@@ -0,0 +1,336 @@
+#include "tests/support/relay_fixture.h"
+
+#include <absl/strings/ascii.h>
+#include <arpa/inet.h>
+#include <chrono>
+#include <cstdlib>
+#include <fmt/format.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sstream>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+namespace orioletally::tests {
+
+namespace {
+
+using lab::RawConnection;
+using lab::RawRequest;
+using nlohmann::json;
+
+constexpr const char *IdHeader = "x-orioletally-attempt-id";
+constexpr int AnswerBoundMs = 12'000;
+constexpr auto Pause = std::chrono::milliseconds(10);
+constexpr int StartBoundMs = 15'000;
+
+/// A port that was free a moment ago.
+int freePort() {
+  const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  ::bind(fd, reinterpret_cast<sockaddr *>(&address), sizeof(address));
+  socklen_t n = sizeof(address);
+  ::getsockname(fd, reinterpret_cast<sockaddr *>(&address), &n);
+  ::close(fd);
+  return ntohs(address.sin_port);
+}
+
+std::string loopback(int port) { return fmt::format("127.0.0.1:{}", port); }
+
+std::string head(const RawRequest &request, const std::string &rest) {
+  return fmt::format("HTTP/1.1 200 OK\r\nX-Orioletally-Attempt-Id: {}\r\n"
+                     "X-Orioletally-Response-Signature: sig\r\n{}\r\n",
+                     request.header(IdHeader), rest);
+}
+
+std::string chunk(const std::string &bytes) {
+  return fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes);
+}
+
+std::string event(int id) { return fmt::format("id: {}\ndata: x\n\n", id); }
+
+constexpr const char *StreamHead =
+    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
+
+/// Takes the chunks of \p text apart; whether the last one came.
+bool joinChunks(std::string text, std::string &out) {
+  while (true) {
+    const size_t line = text.find("\r\n");
+    if (line == std::string::npos)
+      return false;
+    const size_t n = std::strtoul(text.substr(0, line).c_str(), nullptr, 16);
+    if (n == 0)
+      return text.size() >= line + 4;
+    out += text.substr(line + 2, n);
+    if (text.size() < line + 2 + n + 2)
+      return false;
+    text.erase(0, line + 2 + n + 2);
+  }
+}
+
+bool isEnded(const CallerAnswer &answer, const std::string &body) {
+  if (answer.header("transfer-encoding") == "chunked")
+    return body.ends_with("0\r\n\r\n");
+  const std::string length = answer.header("content-length");
+  return !length.empty() &&
+         body.size() >= std::strtoul(length.c_str(), nullptr, 10);
+}
+
+} // namespace
+
+std::string CallerAnswer::header(const std::string &name) const {
+  std::istringstream lines(Head);
+  for (std::string line; std::getline(lines, line);) {
+    const size_t colon = line.find(':');
+    if (colon == std::string::npos)
+      continue;
+    std::string key = line.substr(0, colon);
+    absl::AsciiStrToLower(&key);
+    if (key != name)
+      continue;
+    std::string value = line.substr(colon + 1);
+    absl::StripAsciiWhitespace(&value);
+    return value;
+  }
+  return "";
+}
+
+StandInBackend::StandInBackend(Script script)
+    : Server([this, script = std::move(script)](const RawRequest &request,
+                                                const RawConnection &out) {
+        {
+          const std::lock_guard lock(Guard);
+          Last = request;
+        }
+        ++Attempts;
+        return script(request, out);
+      }) {}
+
+RawRequest StandInBackend::lastRequest() const {
+  const std::lock_guard lock(Guard);
+  return Last;
+}
+
+namespace scripts {
+
+StandInBackend::Script answer(const std::string &body) {
+  return [body](const RawRequest &request, const RawConnection &out) {
+    out.write(
+        head(request, fmt::format("Content-Length: {}\r\n", body.size())) +
+        body);
+    return true;
+  };
+}
+
+StandInBackend::Script stream(int from, int to, int gapMs) {
+  return
+      [from, to, gapMs](const RawRequest &request, const RawConnection &out) {
+        out.write(head(request, StreamHead));
+        for (int id = from; id <= to; ++id) {
+          out.write(chunk(event(id)));
+          if (out.closesWithin(gapMs))
+            return false;
+        }
+        out.write("0\r\n\r\n");
+        return true;
+      };
+}
+
+StandInBackend::Script brokenStream(int to) {
+  return [to](const RawRequest &request, const RawConnection &out) {
+    out.write(head(request, StreamHead));
+    for (int id = 1; id <= to; ++id)
+      out.write(chunk(event(id)));
+    out.write(chunk(fmt::format("id: {}\nda", to + 1)));
+    return false;
+  };
+}
+
+StandInBackend::Script bytes(const std::string &text, bool close) {
+  return [text, close](const RawRequest &request, const RawConnection &out) {
+    std::string filled = text;
+    const std::string mark = "{id}";
+    const size_t at = filled.find(mark);
+    if (at != std::string::npos)
+      filled.replace(at, mark.size(), request.header(IdHeader));
+    out.write(filled);
+    return !close;
+  };
+}
+
+StandInBackend::Script silence() {
+  return [](const RawRequest &, const RawConnection &out) {
+    return !out.closesWithin(AnswerBoundMs);
+  };
+}
+
+} // namespace scripts
+
+RelayFixture::RelayFixture()
+    : Calls(loopback(freePort())), Ready(loopback(freePort())) {}
+
+void RelayFixture::list(const std::string &id, const std::string &service,
+                        const std::string &address, const std::string &state) {
+  Store.put("servers", id,
+            json{{"service", service},
+                 {"address", address},
+                 {"zone", "z"},
+                 {"slots", 16},
+                 {"state", state},
+                 {"born", 5}}
+                .dump());
+}
+
+void RelayFixture::configure(int version, const std::string &extraRoute) {
+  const auto route = [](const char *name, const char *prefix, const char *kind,
+                        const char *service, int timeoutMs, bool resumable) {
+    return json{{"name", name},
+                {"host", "a.example"},
+                {"prefix", prefix},
+                {"kind", kind},
+                {"timeout_ms", timeoutMs},
+                {"target_latency_ms", 300},
+                {"service", service},
+                {"max_attempts", 2},
+                {"public", false},
+                {"resumable", resumable},
+                {"gap_aim_ms", 200}};
+  };
+  json routes = {
+      route("read", "/read/", "idempotent", "plain", 1'000, false),
+      route("write", "/write/", "non_idempotent", "plain", 1'000, false),
+      route("ask", "/ask/", "streaming", "engine", 6'000, true),
+      route("once", "/once/", "streaming", "engine", 6'000, false)};
+  if (!extraRoute.empty())
+    routes.push_back(route("extra", extraRoute.c_str(), "idempotent", "plain",
+                           1'000, false));
+  const json engine = {
+      {"slots", 16},      {"kv_capacity", 450'000},  {"stride", 46},
+      {"step_ms", 0.925}, {"read_per_s", 256'000.0}, {"pairs_per_m", 0.0917},
+      {"chunk", 2'048}};
+  Store.put(
+      "op", "config",
+      json{{"version", version},
+           {"routes", routes},
+           {"services",
+            {{{"name", "plain"}}, {{"name", "engine"}, {"engine", engine}}}},
+           {"limits",
+            {{"max_header_bytes", 4'096},
+             {"max_body_bytes", 10'000},
+             {"header_timeout_ms", 500},
+             {"idle_timeout_ms", 3'000}}},
+           {"tenants",
+            {{{"name", "north"}, {"api_keys", {"key-n"}}},
+             {{"name", "south"}, {"api_keys", {"key-s"}}}}}}
+          .dump());
+}
+
+bool RelayFixture::start(size_t backends) {
+  const std::string settings = Process.writeFile(
+      "entry.toml",
+      fmt::format("[node]\nname = \"n1\"\nzone = \"z\"\n[calls]\n"
+                  "address = \"{}\"\n[ready]\naddress = \"{}\"\n[metrics]\n"
+                  "port = 0\n[peers]\naddress = \"{}\"\n[store]\n"
+                  "address = \"{}\"\nwait_ms = 300\nbound_ms = 300\n",
+                  Calls, Ready, loopback(freePort()), Store.address()));
+  Process.start({"entry", "--settings", settings});
+  const auto read = Process.waitEvent("backends_read_whole",
+                                      std::chrono::milliseconds(StartBoundMs));
+  return read.has_value() && (*read)["listed"] == backends &&
+         within(StartBoundMs, [this] { return isReady(); });
+}
+
+CallerAnswer RelayFixture::raw(const std::string &text) const {
+  CallerAnswer answer;
+  const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in to{};
+  to.sin_family = AF_INET;
+  to.sin_port = htons(static_cast<uint16_t>(
+      std::atoi(Calls.substr(Calls.rfind(':') + 1).c_str())));
+  to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  ::connect(fd, reinterpret_cast<sockaddr *>(&to), sizeof(to));
+  ::send(fd, text.data(), text.size(), MSG_NOSIGNAL);
+  std::string all;
+  std::string body;
+  std::string buf(16 << 10, '\0');
+  pollfd it{fd, POLLIN, 0};
+  while (::poll(&it, 1, AnswerBoundMs) == 1) {
+    const ssize_t n = ::recv(fd, buf.data(), buf.size(), 0);
+    if (n <= 0)
+      break;
+    all.append(buf.data(), static_cast<size_t>(n));
+    const size_t end = all.find("\r\n\r\n");
+    if (end == std::string::npos)
+      continue;
+    answer.Head = all.substr(0, end + 2);
+    body = all.substr(end + 4);
+    if (isEnded(answer, body))
+      break;
+  }
+  ::close(fd);
+  if (answer.Head.size() > 12)
+    answer.Status = std::atoi(answer.Head.substr(9, 3).c_str());
+  if (answer.header("transfer-encoding") == "chunked") {
+    answer.IsWhole = joinChunks(body, answer.Body);
+  } else {
+    answer.Body = body;
+    answer.IsWhole = isEnded(answer, body);
+  }
+  return answer;
+}
+
+CallerAnswer RelayFixture::call(const std::string &method,
+                                const std::string &path,
+                                const std::string &extraHeaders,
+                                const std::string &body) const {
+  std::string text = fmt::format("{} {} HTTP/1.1\r\nHost: a.example\r\n{}",
+                                 method, path, extraHeaders);
+  if (extraHeaders.find("Authorization") == std::string::npos)
+    text += "Authorization: Token key-n\r\n";
+  if (extraHeaders.find("Attempt-Id") == std::string::npos)
+    text += "X-Orioletally-Attempt-Id: a1\r\n";
+  if (!body.empty())
+    text += fmt::format("Content-Length: {}\r\n", body.size());
+  return raw(text + "\r\n" + body);
+}
+
+bool RelayFixture::isReady() const {
+  const auto connection = lab::connectTo(Ready);
+  if (connection == nullptr)
+    return false;
+  connection->write("GET /orioletally/readiness HTTP/1.1\r\nHost: x\r\n\r\n");
+  // The stand-in's reader takes an answer's head for a request's.
+  const auto answer = connection->read();
+  return answer.has_value() && answer->Target == "200";
+}
+
+json RelayFixture::logOf(const std::string &attemptId) const {
+  json found;
+  within(AnswerBoundMs, [&] {
+    std::istringstream lines(Process.log());
+    for (std::string line; std::getline(lines, line);) {
+      const json it = json::parse(line, nullptr, false);
+      if (it.is_object() && it.value("event", "") == "call" &&
+          it.value("id", "") == attemptId)
+        found = it;
+    }
+    return !found.is_null();
+  });
+  return found;
+}
+
+bool within(int ms, const std::function<bool()> &condition) {
+  const auto until =
+      std::chrono::steady_clock::now() + std::chrono::milliseconds(ms);
+  while (!condition()) {
+    if (std::chrono::steady_clock::now() > until)
+      return false;
+    std::this_thread::sleep_for(Pause);
+  }
+  return true;
+}
+
+} // namespace orioletally::tests
