Turn away what would be late when engines are full

Change: a first event predicted beyond 1.2 objectives is refused at once with when to come back; with a backlog, prompts that bring least for the time they read go first.

--- a/core/engines/engine_load.cpp
+++ b/core/engines/engine_load.cpp
@@ -108,10 +108,7 @@
 absl::Duration EngineLoad::predictFirstToken(int64_t tokens, int64_t prompt,
                                              const EngineSpeed &speed,
                                              double pace) const {
-  absl::Duration total = absl::ZeroDuration();
-  for (const RunningPrompt &it : Prompts)
-    if (it.UnreadTokens > 0)
-      total += it.UnreadTokens * timePerToken(speed, it.PromptTokens);
+  absl::Duration total = unreadTime(speed);
   total += static_cast<double>(tokens) * timePerToken(speed, prompt);
   return pace * (total + passWait(tokens, speed) + slotWait(speed));
 }
@@ -181,6 +178,14 @@
   return prompt.AnswerTokens == 0;
 }
 
+absl::Duration EngineLoad::unreadTime(const EngineSpeed &speed) const {
+  absl::Duration total = absl::ZeroDuration();
+  for (const RunningPrompt &it : Prompts)
+    if (it.UnreadTokens > 0)
+      total += it.UnreadTokens * timePerToken(speed, it.PromptTokens);
+  return total;
+}
+
 int64_t EngineLoad::writers() const {
   return std::count_if(Prompts.begin(), Prompts.end(),
                        [](const RunningPrompt &it) { return it.isWriting(); });
--- a/core/engines/engine_load.h
+++ b/core/engines/engine_load.h
@@ -65,6 +65,9 @@
   absl::Duration predictPause(int64_t tokens, int64_t prompt,
                               const EngineSpeed &speed) const;
 
+  /// Time that the engine will take to read what it has been given.
+  absl::Duration unreadTime(const EngineSpeed &speed) const;
+
   /// Requests that write or are expected to.
   int64_t writers() const;
   /// Prompts that still have tokens to read.
--- a/core/engines/engine_placement.cpp
+++ b/core/engines/engine_placement.cpp
@@ -48,6 +48,13 @@
 /// Part of an engine's memory that is filled; the rest holds answers that
 /// turn out longer than announced.
 constexpr double MemoryShare = 0.95;
+/// Seconds that engines may have to read for before prompts are weighed
+/// against each other: the part of an objective of a long prompt that waiting
+/// may take.
+constexpr double FreeBacklog = 0.4;
+/// Answers per second of reading that a prompt must be worth for each second
+/// of backlog beyond: twice what a prompt of usual length brings.
+constexpr double WorthPerBacklog = 5;
 /// A smaller reservation isn't worth its orders.
 constexpr int64_t LeastReservation = 20000;
 /// About the time of a long answer.
@@ -89,6 +96,10 @@
       result.Refusal.TooLarge = true;
       return result;
     }
+    if (!isWorthReading()) {
+      result.Refusal.ComeBackIn = backlog();
+      return result;
+    }
     std::optional<EngineChoice> best;
     double bestCost = 0;
     absl::Duration soonest = absl::InfiniteDuration();
@@ -127,6 +138,26 @@
   /// A slower engine would hold up the rest.
   static constexpr double MaxHelperPace = 1.5;
 
+  /// Time that an engine has to read for, on average.
+  absl::Duration backlog() const {
+    absl::Duration total = absl::ZeroDuration();
+    for (const EngineCandidate &it : Engines)
+      total += it.Load->unreadTime(Speed);
+    return total / static_cast<double>(Engines.size());
+  }
+
+  /// Whether the answer counts for more than what the engines would do in the
+  /// same time. The time to read grows with the square of the length, so the
+  /// longest prompts are the first that a full fleet turns away.
+  bool isWorthReading() const {
+    const double perSecond =
+        Weight / absl::ToDoubleSeconds(
+                     readTime(Speed, Demand.PromptTokens, Demand.PromptTokens));
+    const double wanted =
+        WorthPerBacklog * (absl::ToDoubleSeconds(backlog()) - FreeBacklog);
+    return perSecond >= wanted;
+  }
+
   int64_t partOf(size_t helpers) const {
     const auto parts = static_cast<int64_t>(helpers) + 1;
     return (Demand.PromptTokens + parts - 1) / parts;
--- a/core/relay/dispatcher.cpp
+++ b/core/relay/dispatcher.cpp
@@ -23,6 +23,10 @@
 constexpr absl::Duration LeastPatience = absl::Seconds(2);
 constexpr double PatiencePerObjective = 4;
 constexpr double PatiencePerGap = 8;
+/// A first event that is predicted later than this many objectives isn't waited
+/// for: the engines would be as busy with it as with one that is in time, and
+/// every later call would be late as well. Its caller is told when to return.
+constexpr double LateFactor = 1.2;
 /// Part of a caller's patience that a prediction may use up.
 constexpr double PatienceShare = 0.85;
 
@@ -48,8 +52,8 @@
   const absl::Duration whole =
       std::max({LeastPatience, PatiencePerObjective * route.Objective,
                 PatiencePerGap * route.GapObjective});
-  return std::min(PatienceShare * whole - (now - demand.ArrivedAt),
-                  demand.Deadline - now);
+  return std::min({PatienceShare * whole - (now - demand.ArrivedAt),
+                   LateFactor * route.Objective, demand.Deadline - now});
 }
 
 RequestError noBackend(const std::string &service, absl::Duration comeBackIn) {
--- a/tests/lab/relay_model.cpp
+++ b/tests/lab/relay_model.cpp
@@ -31,6 +31,8 @@
 /// Part of an answer's worth that one in time but late is given.
 constexpr double LateShare = 0.25;
 constexpr double MaxWorthFactor = 4;
+/// Three times the usual long prompt, as the users' longest are.
+constexpr int64_t LongestPrompt = 680'000;
 
 /// Runs what is due in the order of time.
 class Timeline {
@@ -253,8 +255,8 @@
     auto prompt = std::make_shared<Prompt>();
     prompt->Kind = kindIndex;
     prompt->Node = Random() % Nodes.size();
-    prompt->Tokens = std::min(draw(kind.MeanTokens, kind.Spread),
-                              Pattern.Speed.MemoryTokens * 9 / 10);
+    prompt->Tokens =
+        std::min(draw(kind.MeanTokens, kind.Spread), LongestPrompt);
     prompt->Answer = draw(kind.AnswerTokens, 0.5);
     prompt->ArrivedAt = Time.now();
     prompt->Route.Objective = kind.Objective;
