--- a/core/engines/engine_load.cpp
+++ b/core/engines/engine_load.cpp
@@ -41,6 +41,7 @@
                      const EngineSpeed &speed) {
   advance(now, speed);
   RunningPrompt added = prompt;
+  added.StartedAt = now;
   added.UnreadTokens = static_cast<double>(prompt.ReadTokens);
   // Parts are read before prompts that wait, in the order of their coming.
   auto place = Prompts.end();
--- a/core/engines/engine_load.h
+++ b/core/engines/engine_load.h
@@ -21,6 +21,7 @@
   int64_t AnswerTokens = 0;
   /// Tokens of this engine's memory that it takes until it ends.
   int64_t HeldTokens = 0;
+  /// Set when it is added.
   absl::Time StartedAt;
   /// Tokens still to be read, as estimated at the last advance.
   double UnreadTokens = 0;
--- a/core/relay/dispatcher.cpp
+++ b/core/relay/dispatcher.cpp
@@ -277,7 +277,6 @@
       dispatch.Reserved.begin(), dispatch.Reserved.end(),
       dispatch.PromptTokens + dispatch.AnswerTokens, std::minus<>());
   prompt.Gap = dispatch.Gap;
-  prompt.StartedAt = now;
   dispatch.Server->Load.add(prompt, now, *dispatch.Speed);
   tellPart(dispatch, *dispatch.Server, NewsKind::Sent, prompt);
   prompt.AnswerTokens = 0;
@@ -344,7 +343,6 @@
     prompt.HeldTokens = news.HeldTokens;
     if (news.GapMs > 0)
       prompt.Gap = absl::Milliseconds(news.GapMs);
-    prompt.StartedAt = now;
     server->Load.add(prompt, now, speed);
     return;
   }
