Say once what the relay said twice, and drop what nothing calls

Cause: reading the whole change: a prompt's sharing among readers, a backend server's handicap, the statuses that promise not run, the head of a message to peers and the filter of tried backend servers each stood twice; BackendDirectory::forget was markLeaving; closing idle sessions was never called. Change: one piece for each. Behaviour as before.

--- a/core/engines/engine_placement.cpp
+++ b/core/engines/engine_placement.cpp
@@ -159,8 +159,7 @@
   }
 
   int64_t partOf(size_t helpers) const {
-    const auto parts = static_cast<int64_t>(helpers) + 1;
-    return (Demand.PromptTokens + parts - 1) / parts;
+    return partTokens(Demand.PromptTokens, helpers);
   }
 
   absl::Duration predictHelper(size_t n, int64_t part) const {
--- a/core/engines/engine_speed.cpp
+++ b/core/engines/engine_speed.cpp
@@ -29,6 +29,11 @@
   return static_cast<double>(speed.StepsPerPass) * step;
 }
 
+int64_t partTokens(int64_t promptTokens, size_t helpers) {
+  const auto parts = static_cast<int64_t>(helpers) + 1;
+  return (promptTokens + parts - 1) / parts;
+}
+
 int64_t passTokens(const EngineSpeed &speed) {
   return speed.ChunkTokens * speed.StepsPerPass;
 }
--- a/core/engines/engine_speed.h
+++ b/core/engines/engine_speed.h
@@ -2,6 +2,7 @@
 #define ORIOLETALLY_CORE_ENGINES_ENGINE_SPEED_H
 
 #include <absl/time/time.h>
+#include <cstddef>
 #include <cstdint>
 
 namespace orioletally::core::engines {
@@ -44,6 +45,10 @@
 absl::Duration passTime(const EngineSpeed &speed, int64_t writers,
                         int64_t contextTokens);
 
+/// Tokens of a prompt that each of its readers has when \p helpers engines help
+/// to read it.
+int64_t partTokens(int64_t promptTokens, size_t helpers);
+
 /// Tokens of prompts that a pass reads at most while any request writes.
 int64_t passTokens(const EngineSpeed &speed);
 
--- a/core/fleet/backend_directory.cpp
+++ b/core/fleet/backend_directory.cpp
@@ -107,13 +107,6 @@
   return true;
 }
 
-void BackendDirectory::forget(std::string_view id) {
-  const auto found = Servers.find(id);
-  if (found == Servers.end())
-    return;
-  found->second->SeenLeaving = true;
-}
-
 std::vector<std::shared_ptr<BackendServer>>
 BackendDirectory::usable(std::string_view service, absl::Time now) const {
   std::vector<std::shared_ptr<BackendServer>> result;
--- a/core/fleet/backend_directory.h
+++ b/core/fleet/backend_directory.h
@@ -70,9 +70,6 @@
   /// Returns whether that was news.
   bool markLeaving(std::string_view id);
 
-  /// The address of \p id answers under another name: it can't be used again.
-  void forget(std::string_view id);
-
   /// Returns the backend servers of \p service that may get new work.
   std::vector<std::shared_ptr<BackendServer>> usable(std::string_view service,
                                                      absl::Time now) const;
--- a/core/relay/dispatcher.cpp
+++ b/core/relay/dispatcher.cpp
@@ -139,31 +139,35 @@
 std::vector<std::shared_ptr<BackendServer>>
 Dispatcher::candidates(const CallDemand &demand, const std::string &service,
                        absl::Time now) const {
-  std::vector<std::shared_ptr<BackendServer>> all =
+  std::vector<std::shared_ptr<BackendServer>> untried =
       Directory.usable(service, now);
+  std::erase_if(untried, [&](const std::shared_ptr<BackendServer> &it) {
+    return std::find(demand.Tried.begin(), demand.Tried.end(), it->Entry.Id) !=
+           demand.Tried.end();
+  });
   std::vector<std::shared_ptr<BackendServer>> result;
-  for (const std::shared_ptr<BackendServer> &it : all) {
-    const bool isTried = std::find(demand.Tried.begin(), demand.Tried.end(),
-                                   it->Entry.Id) != demand.Tried.end();
-    if (!isTried && it->Health.isOpen(now))
+  for (const std::shared_ptr<BackendServer> &it : untried)
+    if (it->Health.isOpen(now))
       result.push_back(it);
-  }
   if (!result.empty())
     return result;
   // All are closed: the one whose trial comes first is the best guess.
-  std::erase_if(all, [&](const std::shared_ptr<BackendServer> &it) {
-    return std::find(demand.Tried.begin(), demand.Tried.end(), it->Entry.Id) !=
-           demand.Tried.end();
-  });
   const auto first = std::min_element(
-      all.begin(), all.end(), [](const auto &left, const auto &right) {
+      untried.begin(), untried.end(), [](const auto &left, const auto &right) {
         return left->Health.closedUntil() < right->Health.closedUntil();
       });
-  if (first != all.end())
+  if (first != untried.end())
     result.push_back(*first);
   return result;
 }
 
+absl::Duration Dispatcher::handicap(const BackendServer &server) const {
+  const absl::Duration way = server.Entry.Zone == Settings.Zone
+                                 ? absl::ZeroDuration()
+                                 : OtherZoneHandicap;
+  return way + server.Health.failureShare() * FailureHandicap;
+}
+
 std::variant<Dispatch, RequestError>
 Dispatcher::chooseEngine(const CallDemand &demand,
                          const routes::Service &service, absl::Time now) {
@@ -175,10 +179,8 @@
   std::vector<engines::EngineCandidate> engineViews;
   for (const std::shared_ptr<BackendServer> &it : open) {
     it->Load.advance(now, speed);
-    absl::Duration handicap = it->Health.failureShare() * FailureHandicap;
-    if (it->Entry.Zone != Settings.Zone)
-      handicap += OtherZoneHandicap;
-    engineViews.push_back({&it->Load, it->Rank, it->Health.pace(), handicap});
+    engineViews.push_back(
+        {&it->Load, it->Rank, it->Health.pace(), handicap(*it)});
   }
   engines::PromptDemand prompt;
   prompt.PromptTokens = demand.PromptTokens;
@@ -222,11 +224,8 @@
     const double busy =
         static_cast<double>(it->InFlight) /
         static_cast<double>(std::max<int64_t>(1, it->Entry.Slots));
-    absl::Duration cost = it->Health.failureShare() * FailureHandicap +
-                          busy * BusyHandicap +
-                          absl::Uniform(Random, 0.0, 1.0) * PlainJitter;
-    if (it->Entry.Zone != Settings.Zone)
-      cost += OtherZoneHandicap;
+    const absl::Duration cost = handicap(*it) + busy * BusyHandicap +
+                                absl::Uniform(Random, 0.0, 1.0) * PlainJitter;
     if (cost >= bestCost)
       continue;
     bestCost = cost;
@@ -240,11 +239,6 @@
   return result;
 }
 
-int64_t Dispatcher::partTokens(const Dispatch &dispatch) const {
-  const auto parts = static_cast<int64_t>(dispatch.Helpers.size()) + 1;
-  return (dispatch.PromptTokens + parts - 1) / parts;
-}
-
 void Dispatcher::tellPart(const Dispatch &dispatch, const BackendServer &server,
                           NewsKind kind, const engines::RunningPrompt &prompt) {
   if (!Tell)
@@ -271,7 +265,8 @@
     return;
   engines::RunningPrompt prompt;
   prompt.Id = dispatch.LoadId;
-  prompt.ReadTokens = partTokens(dispatch);
+  prompt.ReadTokens =
+      engines::partTokens(dispatch.PromptTokens, dispatch.Helpers.size());
   prompt.PromptTokens = dispatch.PromptTokens;
   prompt.AnswerTokens = dispatch.AnswerTokens;
   prompt.HeldTokens = std::accumulate(
--- a/core/relay/dispatcher.h
+++ b/core/relay/dispatcher.h
@@ -142,7 +142,7 @@
   limits::WindowBudget &budget(const std::string &service);
   void tellPart(const Dispatch &dispatch, const fleet::BackendServer &server,
                 NewsKind kind, const engines::RunningPrompt &prompt);
-  int64_t partTokens(const Dispatch &dispatch) const;
+  absl::Duration handicap(const fleet::BackendServer &server) const;
 
   DispatcherSettings Settings;
   fleet::BackendDirectory Directory;
--- a/drivers/relay/call_runner.cpp
+++ b/drivers/relay/call_runner.cpp
@@ -60,10 +60,6 @@
   RelayContext &Context;
 };
 
-bool promisesNotRun(int status) {
-  return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
 } // namespace
 
 CallRunner::CallRunner(RelayContext &wanted, asio::ip::tcp::socket &socket,
@@ -130,11 +126,11 @@
   Progress.Deadline =
       ArrivedAt + std::min(Route->Timeout, Head.Wait.value_or(Route->Timeout));
   Events = core::relay::EventStream(Head.ResumeAfter);
-  refreshDemand();
+  describeDemand();
   return true;
 }
 
-void CallRunner::refreshDemand() {
+void CallRunner::describeDemand() {
   Demand.Route = Route;
   Demand.Config = Config;
   Demand.PromptTokens = Head.PromptTokens;
@@ -244,7 +240,7 @@
   Demand.Tried.push_back(dispatch.Server->Entry.Id);
   Context.Calls.ended(dispatch, end, now);
   if (end == AttemptEnd::WrongBackend)
-    Context.Calls.directory().forget(dispatch.Server->Entry.Id);
+    Context.Calls.directory().markLeaving(dispatch.Server->Entry.Id);
   Context.Metrics.attemptEnded(core::relay::attemptEndName(end));
   Attempts.push_back({dispatch.Server->Entry.Id, end, now - startedAt,
                       dispatch.PredictedFirstToken, dispatch.Helpers.size()});
--- a/drivers/relay/call_runner.h
+++ b/drivers/relay/call_runner.h
@@ -68,7 +68,7 @@
   void cutChannel();
   void keepChannel(const bhttp::response_parser<bhttp::buffer_body> &parser);
   void holdPlain(const bhttp::response_header<> &head, std::string body);
-  void refreshDemand();
+  void describeDemand();
   void watch(absl::Time phaseEnd);
   void watchSilence(absl::Duration bound);
   void armWatch();
--- a/drivers/relay/caller_session.cpp
+++ b/drivers/relay/caller_session.cpp
@@ -72,18 +72,12 @@
   Stream.close();
 }
 
-void CallerSession::closeIfIdle() {
-  if (!IsBusy)
-    Stream.close();
-}
-
 asio::awaitable<bool> CallerSession::serveOne() {
   const auto config = Context.Calls.config();
   const core::routes::CallerLimits limits =
       config == nullptr ? core::routes::CallerLimits{} : config->limits();
   if (Buffer.size() == 0 && !co_await awaitFirstByte(limits.IdleBound))
     co_return false;
-  IsBusy = true;
   std::optional<CallRequest> request = co_await readRequest(limits);
   if (!request.has_value())
     co_return false;
@@ -95,7 +89,6 @@
   if (!Stream.socket().is_open())
     co_return false;
   Stream.socket().cancel();
-  IsBusy = false;
   if (!isKept)
     co_await lingeringClose();
   co_return isKept;
--- a/drivers/relay/caller_session.h
+++ b/drivers/relay/caller_session.h
@@ -17,9 +17,6 @@
 
   asio::awaitable<void> run();
 
-  /// Closes the connection unless a call is in progress.
-  void closeIfIdle();
-
 private:
   asio::awaitable<bool> serveOne();
   asio::awaitable<bool> awaitFirstByte(absl::Duration bound);
@@ -32,7 +29,6 @@
   RelayContext &Context;
   beast::tcp_stream Stream;
   beast::flat_buffer Buffer;
-  bool IsBusy = false;
 };
 
 } // namespace orioletally::drivers::relay
--- a/drivers/relay/message_parts.cpp
+++ b/drivers/relay/message_parts.cpp
@@ -44,11 +44,13 @@
   });
 }
 
+bool promisesNotRun(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 int answerStatus(const core::errors::RequestError &error) {
   const int status = core::errors::httpStatus(error.Code);
-  const bool isPromise =
-      status == 408 || status == 421 || status == 429 || status == 503;
-  if (isPromise && error.Run != core::errors::RunState::NotRun)
+  if (promisesNotRun(status) && error.Run != core::errors::RunState::NotRun)
     return StatusBadGateway;
   return status;
 }
--- a/drivers/relay/message_parts.h
+++ b/drivers/relay/message_parts.h
@@ -37,6 +37,9 @@
   }
 }
 
+/// Whether \p status promises that the call hasn't been executed.
+bool promisesNotRun(int status);
+
 /// The status that carries \p error to a caller. Statuses that promise that
 /// the call hasn't been executed are only used where that is so.
 int answerStatus(const core::errors::RequestError &error);
--- a/drivers/relay/peer_link.cpp
+++ b/drivers/relay/peer_link.cpp
@@ -66,6 +66,16 @@
   return news;
 }
 
+/// A message that says who sends it, and no news yet.
+proto::NodeNews ownNews(const NodeEntry &self, uint64_t configVersion) {
+  proto::NodeNews message;
+  message.set_node(self.Name);
+  message.set_peer_address(self.PeerAddress);
+  message.set_incarnation(self.Incarnation);
+  message.set_config_version(configVersion);
+  return message;
+}
+
 } // namespace
 
 PeerLink::PeerLink(asio::io_context &loop, NodeEntry self,
@@ -142,11 +152,7 @@
 
 void PeerLink::flush() {
   FlushAt = absl::InfiniteFuture();
-  proto::NodeNews message;
-  message.set_node(Self.Name);
-  message.set_peer_address(Self.PeerAddress);
-  message.set_incarnation(Self.Incarnation);
-  message.set_config_version(Handlers.ConfigVersion());
+  proto::NodeNews message = ownNews(Self, Handlers.ConfigVersion());
   for (const PromptNews &it : Pending)
     *message.add_prompts() = encode(it);
   Pending.clear();
@@ -194,17 +200,13 @@
     Handlers.TakeLeaving({message.leaving().begin(), message.leaving().end()});
   if (!message.config().empty())
     Handlers.TakeConfig(message.config());
-  proto::NodeNews reply;
   const uint64_t version = Handlers.ConfigVersion();
+  proto::NodeNews reply = ownNews(Self, version);
   if (message.wants_config() && version > message.config_version())
     reply.set_config(Handlers.ConfigText());
   reply.set_wants_config(message.config_version() > version);
   if (reply.config().empty() && !reply.wants_config())
     return;
-  reply.set_node(Self.Name);
-  reply.set_peer_address(Self.PeerAddress);
-  reply.set_incarnation(Self.Incarnation);
-  reply.set_config_version(version);
   Transport.send(message.peer_address(), reply.SerializeAsString());
 }
 
--- a/drivers/relay/relay_server.cpp
+++ b/drivers/relay/relay_server.cpp
@@ -68,11 +68,6 @@
     it->close(ignored);
 }
 
-void RelayServer::closeIdle() {
-  for (const std::shared_ptr<CallerSession> &it : Sessions)
-    it->closeIfIdle();
-}
-
 asio::awaitable<void>
 RelayServer::acceptCalls(std::shared_ptr<Acceptor> acceptor,
                          size_t maxSessions) {
--- a/drivers/relay/relay_server.h
+++ b/drivers/relay/relay_server.h
@@ -42,11 +42,6 @@
   /// Takes no new connections of callers.
   void stopAccepting();
 
-  /// Closes the connections that carry no call.
-  void closeIdle();
-
-  size_t sessions() const { return Sessions.size(); }
-
 private:
   using Acceptor = asio::ip::tcp::acceptor;
 
