--- a/core/backends/engine_client.h
+++ b/core/backends/engine_client.h
@@ -69,7 +69,8 @@
 };
 
 /// Receives what happens on one connection to an engine, on a thread of the
-/// client's. After `closed` or `refused` nothing more is called.
+/// client's or its event loop. After `closed` or `refused` nothing more is
+/// called.
 class StreamObserver {
 public:
   virtual ~StreamObserver() = default;
--- a/drivers/backend/http_engine_client.cpp
+++ b/drivers/backend/http_engine_client.cpp
@@ -28,11 +28,11 @@
 /// One exchange whose answer is a stream of frames.
 class StreamExchange : public EngineConnection {
 public:
-  StreamExchange(ExchangeRequest request,
+  StreamExchange(boost::asio::io_context &loop, ExchangeRequest request,
                  std::shared_ptr<StreamObserver> observer)
       : Observer(std::move(observer)),
         Exchange(
-            std::move(request),
+            loop, std::move(request),
             [this](int status, std::string_view data) { take(status, data); },
             [this](const ExchangeEnd &end) { finish(end); }) {}
 
@@ -70,7 +70,7 @@
   std::shared_ptr<StreamObserver> Observer;
   LineSplitter Lines;
   std::string ErrorBody;
-  // Last, because its thread uses the members above from the start.
+  // Last, because it uses the members above from the start.
   http::HttpExchange Exchange;
 };
 
@@ -117,7 +117,7 @@
   request.Path = "/v1/streams";
   request.Body = submitToJson(submit);
   request.Connect = connect;
-  return std::make_unique<StreamExchange>(std::move(request),
+  return std::make_unique<StreamExchange>(Loop, std::move(request),
                                           std::move(observer));
 }
 
@@ -128,7 +128,7 @@
   ExchangeRequest request =
       get(address, fmt::format("{}?offset={}", streamPath(stream), offset));
   request.Connect = connect;
-  return std::make_unique<StreamExchange>(std::move(request),
+  return std::make_unique<StreamExchange>(Loop, std::move(request),
                                           std::move(observer));
 }
 
--- a/drivers/backend/http_engine_client.h
+++ b/drivers/backend/http_engine_client.h
@@ -3,6 +3,8 @@
 
 #include "core/backends/engine_client.h"
 
+#include <boost/asio/io_context.hpp>
+
 namespace orioletally::drivers::backend {
 
 /// Speaks the engines' HTTP protocol; docs/INTERFACES.md has it field by
@@ -10,6 +12,9 @@
 /// have gone silent without either end noticing.
 class HttpEngineClient : public core::backends::EngineClient {
 public:
+  /// Streams are read on \p loop, which calls their observers.
+  explicit HttpEngineClient(boost::asio::io_context &loop) : Loop(loop) {}
+
   std::unique_ptr<core::backends::EngineConnection>
   submit(const std::string &address, core::backends::EngineSubmit submit,
          absl::Duration connect,
@@ -27,6 +32,9 @@
   boost::leaf::result<core::backends::EngineReport>
   report(const std::string &address, absl::Duration detachedFor,
          absl::Duration bound) override;
+
+private:
+  boost::asio::io_context &Loop;
 };
 
 } // namespace orioletally::drivers::backend
--- a/drivers/backend/http_service_client.cpp
+++ b/drivers/backend/http_service_client.cpp
@@ -17,11 +17,6 @@
 
 constexpr int64_t MsPerSecond = 1000;
 
-std::string headerOf(const httplib::Headers &headers, const char *key) {
-  const auto it = headers.find(key);
-  return it == headers.end() ? std::string() : it->second;
-}
-
 } // namespace
 
 leaf::result<ServiceAnswer> HttpServiceClient::call(const std::string &address,
@@ -46,11 +41,12 @@
   if (!end.Whole)
     return leaf::new_error(BackendError{end.Error, end.Written});
   answer.Status = end.Status;
-  answer.ContentType = headerOf(end.Headers, "Content-Type");
-  answer.RefusedBeforeStart = headerOf(end.Headers, "X-Not-Started") == "true";
-  answer.Draining = headerOf(end.Headers, "X-Draining") == "true";
+  answer.ContentType = http::headerOf(end.Headers, "Content-Type");
+  answer.RefusedBeforeStart =
+      http::headerOf(end.Headers, "X-Not-Started") == "true";
+  answer.Draining = http::headerOf(end.Headers, "X-Draining") == "true";
   int64_t seconds = 0;
-  if (absl::SimpleAtoi(headerOf(end.Headers, "Retry-After"), &seconds))
+  if (absl::SimpleAtoi(http::headerOf(end.Headers, "Retry-After"), &seconds))
     answer.RetryAfterMs = seconds * MsPerSecond;
   return answer;
 }
--- a/drivers/gateway/caller_api.cpp
+++ b/drivers/gateway/caller_api.cpp
@@ -3,7 +3,6 @@
 #include "drivers/clock/clock.h"
 #include "drivers/gateway/completion_exchange.h"
 #include "drivers/gateway/http_reply.h"
-#include "drivers/http/socket_stream.h"
 #include "drivers/log/log.h"
 
 #include <absl/strings/str_format.h>
@@ -30,33 +29,6 @@
 constexpr size_t MaxKeyLength = 256;
 constexpr int StatusOk = 200;
 
-std::function<bool()> goneCheck() {
-  http::SocketStream *connection = http::currentConnection();
-  return [connection] {
-    return connection != nullptr && connection->isPeerGone();
-  };
-}
-
-using BodyHandler = std::function<void(const CallerRequest &request,
-                                       httplib::Response &response)>;
-
-/// Reads the body for \p handler. Left to itself the library would refuse a
-/// body of more than 8 KB that comes with curl's default content type.
-httplib::Server::HandlerWithContentReader withBody(BodyHandler handler) {
-  return [handler = std::move(handler)](const httplib::Request &request,
-                                        httplib::Response &response,
-                                        const httplib::ContentReader &reader) {
-    CallerRequest complete{request, ""};
-    const bool isRead = reader([&](const char *ptr, size_t n) {
-      complete.Body.append(ptr, n);
-      return true;
-    });
-    // The error handler gives the answer to a body that is late or too large.
-    if (isRead)
-      handler(complete, response);
-  };
-}
-
 json explainService(const ServicePlan &plan, const ServiceRunner &runner,
                     const ServiceResult &result) {
   json steps = json::array();
@@ -78,22 +50,25 @@
 
 } // namespace
 
-void CallerApi::registerRoutes(http::HttpServer &server) {
-  server.Post("/v1/completions",
-              withBody([this](const auto &request, auto &response) {
-                complete(CompletionShape::Text, request, response);
-              }));
-  server.Post("/v1/chat/completions",
-              withBody([this](const auto &request, auto &response) {
-                complete(CompletionShape::Chat, request, response);
-              }));
-  server.Post(R"(/v1/services/([^/]+)/(.*))",
-              withBody([this](const auto &request, auto &response) {
-                callService(request, response);
-              }));
-  server.Get("/v1/models", [this](const auto &request, auto &response) {
-    listModels(request, response);
-  });
+void CallerApi::registerRoutes(http::HttpRoutes &routes,
+                               loop::WorkerThreads &threads) {
+  routes.add("POST", "/v1/completions",
+             [this](http::HttpRequest &request, http::HttpReply &reply) {
+               return complete(CompletionShape::Text, request, reply);
+             });
+  routes.add("POST", "/v1/chat/completions",
+             [this](http::HttpRequest &request, http::HttpReply &reply) {
+               return complete(CompletionShape::Chat, request, reply);
+             });
+  // A call to a service waits for it, and for the table that holds its claim.
+  routes.addBlocking("POST", R"(/v1/services/([^/]+)/(.*))", threads,
+                     [this](const auto &request, auto &response) {
+                       callService(request, response);
+                     });
+  routes.addPlain("GET", "/v1/models",
+                  [this](const auto &request, auto &response) {
+                    listModels(request, response);
+                  });
 }
 
 std::string CallerApi::newRequestId() {
@@ -101,7 +76,7 @@
                          NextRequest++);
 }
 
-void CallerApi::fail(httplib::Response &response, const std::string &requestId,
+void CallerApi::fail(http::HttpResponse &response, const std::string &requestId,
                      const std::string &workspace,
                      const RequestError &error) const {
   Context.Runner.Metrics.refused(error);
@@ -117,9 +92,8 @@
 }
 
 std::variant<Principal, RequestError>
-CallerApi::authenticate(const httplib::Request &request) const {
-  auto principal =
-      Context.Tokens.find(request.get_header_value("Authorization"));
+CallerApi::authenticate(const http::HttpRequest &request) const {
+  auto principal = Context.Tokens.find(request.header("Authorization"));
   if (!principal.has_value())
     return refusal(ErrorCode::Unauthorized, "unknown bearer token",
                    "setting auth.tokens_file");
@@ -184,44 +158,60 @@
   return plan;
 }
 
-void CallerApi::complete(CompletionShape shape, const CallerRequest &request,
-                         httplib::Response &response) {
-  const std::string requestId = newRequestId();
-  response.set_header("X-Request-Id", requestId);
-  const auto caller = authenticate(request.Head);
+std::variant<CallerApi::Admitted, RequestError>
+CallerApi::admit(CompletionShape shape, const http::HttpRequest &request,
+                 const std::string &requestId, std::string &workspace) {
+  const auto caller = authenticate(request);
   if (const auto *error = std::get_if<RequestError>(&caller))
-    return fail(response, requestId, "", *error);
-  const std::string &workspace = std::get<Principal>(caller).Name;
+    return *error;
+  workspace = std::get<Principal>(caller).Name;
   GateResult entry = Context.Runner.Gate.tryEnter(workspace);
   if (const auto *error = std::get_if<RequestError>(&entry))
-    return fail(response, requestId, workspace, *error);
+    return *error;
   auto parsed = parseCompletionCall(shape, request.Body);
   if (const auto *error = std::get_if<RequestError>(&parsed))
-    return fail(response, requestId, workspace, *error);
+    return *error;
   auto &call = std::get<CompletionCall>(parsed);
   auto planned = planFor(call, workspace, requestId);
   if (const auto *error = std::get_if<RequestError>(&planned))
-    return fail(response, requestId, workspace, *error);
-  auto &plan = std::get<RequestPlan>(planned);
+    return *error;
+  return Admitted{std::get<std::shared_ptr<GateTicket>>(std::move(entry)),
+                  std::get<RequestPlan>(std::move(planned)),
+                  std::move(call.Prompt)};
+}
 
-  AnswerFormat format(shape, requestId, plan.Profile.Name,
+asio::awaitable<void> CallerApi::complete(CompletionShape shape,
+                                          http::HttpRequest &request,
+                                          http::HttpReply &reply) {
+  const std::string requestId = newRequestId();
+  reply.Answer.setHeader("X-Request-Id", requestId);
+  std::string workspace;
+  auto admitted = admit(shape, request, requestId, workspace);
+  if (const auto *error = std::get_if<RequestError>(&admitted)) {
+    fail(reply.Answer, requestId, workspace, *error);
+    co_return;
+  }
+  // The body may be as large as the longest prompt.
+  request.Body = std::string();
+  auto &call = std::get<Admitted>(admitted);
+  const bool isStream = call.Plan.Streaming;
+  AnswerFormat format(shape, requestId, call.Plan.Profile.Name,
                       absl::ToUnixSeconds(clock::wallNow()));
   auto runner = std::make_unique<CompletionRunner>(
-      Context.Runner, std::move(plan), std::move(call.Prompt), goneCheck());
-  const auto exchange = std::make_shared<CompletionExchange>(
-      std::get<std::shared_ptr<GateTicket>>(std::move(entry)),
-      std::move(runner), std::move(format), Context.Journal);
-  if (call.Stream)
-    exchange->replyStream(response);
+      Context.Runner, std::move(call.Plan), std::move(call.Prompt));
+  CompletionExchange exchange(std::move(call.Ticket), std::move(runner),
+                              std::move(format), Context.Journal);
+  if (isStream)
+    co_await exchange.replyStream(reply);
   else
-    exchange->replyWhole(response);
+    co_await exchange.replyWhole(reply);
 }
 
-void CallerApi::callService(const CallerRequest &request,
-                            httplib::Response &response) {
+void CallerApi::callService(const http::HttpRequest &request,
+                            http::HttpResponse &response) {
   const std::string requestId = newRequestId();
-  response.set_header("X-Request-Id", requestId);
-  const auto caller = authenticate(request.Head);
+  response.setHeader("X-Request-Id", requestId);
+  const auto caller = authenticate(request);
   if (const auto *error = std::get_if<RequestError>(&caller))
     return fail(response, requestId, "", *error);
   const std::string &workspace = std::get<Principal>(caller).Name;
@@ -229,7 +219,7 @@
   if (const auto *error = std::get_if<RequestError>(&entry))
     return fail(response, requestId, workspace, *error);
   const auto found =
-      profileFor(request.Head.matches[1], ProfileKind::Service, workspace);
+      profileFor(request.Matches[0], ProfileKind::Service, workspace);
   if (const auto *error = std::get_if<RequestError>(&found))
     return fail(response, requestId, workspace, *error);
 
@@ -237,12 +227,12 @@
   plan.Profile = std::get<Profile>(found);
   plan.Workspace = workspace;
   plan.Call.RequestId = requestId;
-  plan.Call.Path = request.Head.matches[2];
+  plan.Call.Path = request.Matches[1];
   plan.Call.Body = request.Body;
-  plan.Call.ContentType = request.Head.get_header_value("Content-Type");
-  plan.Call.IdempotencyKey = request.Head.get_header_value("Idempotency-Key");
-  plan.Unrepeatable = !plan.Profile.repeatable() ||
-                      request.Head.get_header_value("X-Unrepeatable") == "true";
+  plan.Call.ContentType = request.header("Content-Type");
+  plan.Call.IdempotencyKey = request.header("Idempotency-Key");
+  plan.Unrepeatable =
+      !plan.Profile.repeatable() || request.header("X-Unrepeatable") == "true";
   plan.Deadline = clock::steadyNow() + plan.Profile.deadline();
   if (plan.Call.IdempotencyKey.size() > MaxKeyLength)
     return fail(response, requestId, workspace,
@@ -265,16 +255,15 @@
   }
   const auto &answer = std::get<ServiceAnswer>(result);
   Context.Runner.Metrics.finished(plan.Profile.Name);
-  response.status = answer.Status;
-  response.set_content(answer.Body, answer.ContentType.empty()
-                                        ? "application/octet-stream"
-                                        : answer.ContentType.c_str());
+  response.Status = answer.Status;
+  response.setContent(answer.Body, answer.ContentType.empty()
+                                       ? "application/octet-stream"
+                                       : answer.ContentType);
 }
 
-void CallerApi::listModels(const httplib::Request &request,
-                           httplib::Response &response) {
-  const auto principal =
-      Context.Tokens.find(request.get_header_value("Authorization"));
+void CallerApi::listModels(const http::HttpRequest &request,
+                           http::HttpResponse &response) {
+  const auto principal = Context.Tokens.find(request.header("Authorization"));
   if (!principal.has_value())
     return replyError(response,
                       refusal(ErrorCode::Unauthorized, "unknown bearer token",
--- a/drivers/gateway/caller_api.h
+++ b/drivers/gateway/caller_api.h
@@ -8,7 +8,7 @@
 #include "drivers/gateway/profile_view.h"
 #include "drivers/gateway/request_journal.h"
 #include "drivers/gateway/service_runner.h"
-#include "drivers/http/http_server.h"
+#include "drivers/http/http_routes.h"
 
 #include <atomic>
 #include <functional>
@@ -31,30 +31,40 @@
   std::function<bool()> IsReady;
 };
 
-/// A request of a caller with its whole body.
-struct CallerRequest {
-  const httplib::Request &Head;
-  std::string Body;
-};
-
 /// The HTTP interface of callers.
 class CallerApi {
 public:
   explicit CallerApi(const CallerContext &parts) : Context(parts) {}
 
-  void registerRoutes(http::HttpServer &server);
+  /// Adds the paths; what may block runs on \p threads.
+  void registerRoutes(http::HttpRoutes &routes, loop::WorkerThreads &threads);
 
 private:
   using Failure = core::errors::RequestError;
 
-  void complete(CompletionShape shape, const CallerRequest &request,
-                httplib::Response &response);
-  void callService(const CallerRequest &request, httplib::Response &response);
-  void listModels(const httplib::Request &request, httplib::Response &response);
+  /// A completion that may run.
+  struct Admitted {
+    std::shared_ptr<GateTicket> Ticket;
+    core::requests::RequestPlan Plan;
+    std::string Prompt;
+  };
+
+  asio::awaitable<void> complete(CompletionShape shape,
+                                 http::HttpRequest &request,
+                                 http::HttpReply &reply);
+  /// Checks a completion; \p workspace is set as soon as it is known.
+  std::variant<Admitted, Failure> admit(CompletionShape shape,
+                                        const http::HttpRequest &request,
+                                        const std::string &requestId,
+                                        std::string &workspace);
+  void callService(const http::HttpRequest &request,
+                   http::HttpResponse &response);
+  void listModels(const http::HttpRequest &request,
+                  http::HttpResponse &response);
 
   /// Returns the workspace, or why the caller isn't served now.
   std::variant<Principal, Failure>
-  authenticate(const httplib::Request &request) const;
+  authenticate(const http::HttpRequest &request) const;
   std::variant<core::profiles::Profile, Failure>
   profileFor(const std::string &name, core::profiles::ProfileKind kind,
              const std::string &workspace) const;
@@ -62,7 +72,7 @@
   planFor(const CompletionCall &call, const std::string &workspace,
           const std::string &requestId) const;
   std::string newRequestId();
-  void fail(httplib::Response &response, const std::string &requestId,
+  void fail(http::HttpResponse &response, const std::string &requestId,
             const std::string &workspace, const Failure &error) const;
 
   const CallerContext &Context;
--- a/drivers/gateway/completion_exchange.cpp
+++ b/drivers/gateway/completion_exchange.cpp
@@ -43,55 +43,61 @@
              "request_ended", line);
 }
 
-void CompletionExchange::replyStream(httplib::Response &response) {
-  First = Runner->next();
-  if (const auto *failed = std::get_if<FailAnswer>(&*First)) {
+asio::awaitable<void> CompletionExchange::replyStream(http::HttpReply &reply) {
+  reply.onCallerGone([this] { Runner->callerLeft(); });
+  RunnerOutput output = co_await Runner->next();
+  if (const auto *failed = std::get_if<FailAnswer>(&output)) {
     Error = failed->Error;
-    Ended = true;
-    replyError(response, failed->Error);
-    return;
+    replyError(reply.Answer, failed->Error);
+    co_return;
   }
-  response.status = StatusOk;
-  response.set_header("Cache-Control", "no-store");
-  response.set_chunked_content_provider(
-      "text/event-stream",
-      [self = shared_from_this()](size_t, httplib::DataSink &sink) {
-        return self->writeSome(sink);
-      });
+  reply.Answer.Status = StatusOk;
+  reply.Answer.setHeader("Cache-Control", "no-store");
+  reply.Answer.setHeader("Content-Type", "text/event-stream");
+  while (true) {
+    const bool isWritten = co_await reply.write(eventsFrom(output));
+    if (!isWritten) {
+      co_return;
+    }
+    if (Ended) {
+      break;
+    }
+    output = co_await Runner->next();
+  }
+  co_await reply.finish();
 }
 
-bool CompletionExchange::writeSome(httplib::DataSink &sink) {
-  RunnerOutput output =
-      First.has_value() ? *std::exchange(First, std::nullopt) : Runner->next();
+std::string CompletionExchange::eventsFrom(const RunnerOutput &output) {
   std::string text =
       std::visit([this](const auto &it) { return take(it); }, output);
-  while (!Ended && Runner->hasNext())
-    text +=
-        std::visit([this](const auto &it) { return take(it); }, Runner->next());
-  const bool isWritten = sink.write(text.data(), text.size());
-  if (Ended && isWritten)
-    sink.done();
-  return isWritten;
+  while (!Ended) {
+    const std::optional<RunnerOutput> more = Runner->tryNext();
+    if (!more.has_value())
+      break;
+    text += std::visit([this](const auto &it) { return take(it); }, *more);
+  }
+  return text;
 }
 
-void CompletionExchange::replyWhole(httplib::Response &response) {
+asio::awaitable<void> CompletionExchange::replyWhole(http::HttpReply &reply) {
+  reply.onCallerGone([this] { Runner->callerLeft(); });
   std::string text;
   while (true) {
-    const RunnerOutput output = Runner->next();
+    const RunnerOutput output = co_await Runner->next();
     if (const auto *token = std::get_if<DeliverToken>(&output)) {
       text += token->Text;
     } else if (std::holds_alternative<RestartAnswer>(output)) {
       text.clear();
     } else if (const auto *done = std::get_if<CompleteAnswer>(&output)) {
-      response.status = StatusOk;
-      response.set_content(
+      reply.Answer.Status = StatusOk;
+      reply.Answer.setContent(
           Format.whole(text, done->FinishReason, usage(done->Tokens)),
           "application/json");
-      return;
+      co_return;
     } else {
       Error = std::get<FailAnswer>(output).Error;
-      replyError(response, *Error);
-      return;
+      replyError(reply.Answer, *Error);
+      co_return;
     }
   }
 }
--- a/drivers/gateway/completion_exchange.h
+++ b/drivers/gateway/completion_exchange.h
@@ -4,8 +4,8 @@
 #include "drivers/gateway/answer_format.h"
 #include "drivers/gateway/completion_runner.h"
 #include "drivers/gateway/request_journal.h"
+#include "drivers/http/http_reply.h"
 
-#include <httplib.h>
 #include <memory>
 #include <optional>
 #include <string>
@@ -14,8 +14,7 @@
 
 /// Carries the outputs of one CompletionRunner to the caller, whole or as a
 /// stream of events, and leaves the explanation in the journal.
-class CompletionExchange
-    : public std::enable_shared_from_this<CompletionExchange> {
+class CompletionExchange {
 public:
   CompletionExchange(std::shared_ptr<GateTicket> held,
                      std::unique_ptr<CompletionRunner> started,
@@ -26,14 +25,16 @@
   CompletionExchange(const CompletionExchange &) = delete;
   CompletionExchange &operator=(const CompletionExchange &) = delete;
 
-  /// Waits for the first output and sets up \p response to send the rest.
-  void replyStream(httplib::Response &response);
+  /// Sends the answer as events, as they come. A request that fails before its
+  /// first token is answered by an error.
+  asio::awaitable<void> replyStream(http::HttpReply &reply);
 
   /// Waits for the whole answer.
-  void replyWhole(httplib::Response &response);
+  asio::awaitable<void> replyWhole(http::HttpReply &reply);
 
 private:
-  bool writeSome(httplib::DataSink &sink);
+  /// The events of \p output and of all that came with it.
+  std::string eventsFrom(const RunnerOutput &output);
   std::string take(const core::requests::DeliverToken &output);
   std::string take(const core::requests::RestartAnswer &output);
   std::string take(const core::requests::CompleteAnswer &output);
@@ -45,7 +46,6 @@
   std::unique_ptr<CompletionRunner> Runner;
   AnswerFormat Format;
   RequestJournal &Journal;
-  std::optional<RunnerOutput> First;
   std::optional<core::errors::RequestError> Error;
   bool Ended = false;
 };
--- a/drivers/gateway/completion_runner.cpp
+++ b/drivers/gateway/completion_runner.cpp
@@ -4,6 +4,7 @@
 
 #include <absl/algorithm/container.h>
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <utility>
 
 namespace leaf = boost::leaf;
@@ -35,8 +36,8 @@
 using core::requests::SubmitRefused;
 using core::requests::TimerFired;
 
-/// How often a waiting request looks whether its caller is still there.
-constexpr absl::Duration CallerCheck = absl::Milliseconds(200);
+/// How often a waiting request looks whether the node cuts it off.
+constexpr absl::Duration CutOffCheck = absl::Milliseconds(200);
 constexpr absl::Duration CancelCallBound = absl::Milliseconds(400);
 
 /// Turns what happens on one connection into events of the request.
@@ -76,30 +77,31 @@
 } // namespace
 
 void EventInbox::push(RequestEvent event) {
-  {
-    const std::lock_guard lock(Guard);
-    Events.push_back(std::move(event));
-  }
-  Changed.notify_one();
+  Events.push_back(std::move(event));
+  Arrived.cancel();
 }
 
-std::optional<RequestEvent>
-EventInbox::take(std::chrono::steady_clock::time_point until) {
-  std::unique_lock lock(Guard);
-  if (!Changed.wait_until(lock, until, [this] { return !Events.empty(); }))
+std::optional<RequestEvent> EventInbox::tryTake() {
+  if (Events.empty())
     return std::nullopt;
   RequestEvent event = std::move(Events.front());
   Events.pop_front();
   return event;
 }
 
+asio::awaitable<void> EventInbox::wait(absl::Duration bound) {
+  if (!Events.empty()) {
+    co_return;
+  }
+  Arrived.expires_after(absl::ToChronoNanoseconds(bound));
+  co_await Arrived.async_wait(loop::AsTuple);
+}
+
 CompletionRunner::CompletionRunner(const RunnerContext &context,
                                    core::requests::RequestPlan plan,
-                                   std::string prompt,
-                                   std::function<bool()> isCallerGone)
-    : Context(context), Prompt(std::move(prompt)),
-      IsCallerGone(std::move(isCallerGone)), Admitted(clock::steadyNow()),
-      Inbox(std::make_shared<EventInbox>()),
+                                   std::string prompt)
+    : Context(context), Prompt(std::move(prompt)), Admitted(clock::steadyNow()),
+      Inbox(std::make_shared<EventInbox>(context.Loop)),
       Machine(std::move(plan), context.Chart, context.Router) {
   perform(Machine.start(Admitted));
 }
@@ -113,44 +115,46 @@
   Context.Metrics.framesDropped(Machine.dropped().total());
 }
 
-bool CompletionRunner::hasNext() {
-  if (Outputs.empty()) {
-    // Events that are already here may hold an output.
-    const auto now = std::chrono::steady_clock::now();
-    while (Outputs.empty() && !Machine.isDone()) {
-      const std::optional<RequestEvent> event = Inbox->take(now);
-      if (!event.has_value())
-        break;
-      feed(*event);
-    }
+std::optional<RunnerOutput> CompletionRunner::tryNext() {
+  while (Outputs.empty() && !Machine.isDone()) {
+    const std::optional<RequestEvent> event = Inbox->tryTake();
+    if (!event.has_value())
+      return std::nullopt;
+    feed(*event);
   }
-  return !Outputs.empty();
-}
-
-RunnerOutput CompletionRunner::next() {
-  while (Outputs.empty())
-    advance();
+  if (Outputs.empty())
+    return std::nullopt;
   RunnerOutput output = std::move(Outputs.front());
   Outputs.pop_front();
   return output;
 }
 
-void CompletionRunner::advance() {
-  const absl::Time now = clock::steadyNow();
-  // A stream whose tokens come quickly is looked after as often as a silent
-  // one.
-  if (now >= NextCheck) {
-    NextCheck = now + CallerCheck;
-    if (IsCallerGone())
-      return feed(CallerLeft{});
-    if (Context.Gate.isCutOff())
-      return feed(DrainBoundReached{});
+asio::awaitable<RunnerOutput> CompletionRunner::next() {
+  while (true) {
+    std::optional<RunnerOutput> output = tryNext();
+    if (output.has_value()) {
+      co_return *std::move(output);
+    }
+    co_await advance();
+  }
+}
+
+void CompletionRunner::callerLeft() { Inbox->push(CallerLeft{}); }
+
+asio::awaitable<void> CompletionRunner::advance() {
+  if (Context.Gate.isCutOff()) {
+    feed(DrainBoundReached{});
+    co_return;
   }
-  const absl::Time until = std::min(Machine.nextWake(), NextCheck);
-  if (auto event = Inbox->take(clock::waitPoint(until, now)))
+  const absl::Time now = clock::steadyNow();
+  const absl::Time wake = Machine.nextWake();
+  co_await Inbox->wait(std::min(wake - now, CutOffCheck));
+  // What has arrived goes before what the time brings.
+  if (std::optional<RequestEvent> event = Inbox->tryTake()) {
     feed(*event);
-  else
-    feed(TimerFired{});
+    co_return;
+  }
+  feed(TimerFired{});
 }
 
 void CompletionRunner::feed(const RequestEvent &event) {
@@ -217,25 +221,22 @@
   });
   if (it == Connections.end())
     return;
-  // The connection's thread may need a moment to end, which no caller should
-  // wait for.
-  std::shared_ptr<core::backends::EngineConnection> dropped =
-      std::move(it->Connection);
   Connections.erase(it);
-  dropped->stop();
-  Context.Background.submit([dropped] { dropped->stop(); });
 }
 
 void CompletionRunner::perform(const SendCancel &action) {
   const StreamId stream{Machine.plan().RequestId, action.Attempt};
   std::shared_ptr<EventInbox> inbox = action.Awaited ? Inbox : nullptr;
-  Context.Background.submit(
-      [&engines = Context.Engines, address = action.Address, stream, inbox] {
-        const std::optional<CancelAnswer> answer =
-            cancelNow(engines, address, stream);
-        if (inbox != nullptr)
-          inbox->push(CancelAnswered{stream.Attempt, answer});
-      });
+  Context.Background.submit([&engines = Context.Engines, &loop = Context.Loop,
+                             address = action.Address, stream, inbox] {
+    const std::optional<CancelAnswer> answer =
+        cancelNow(engines, address, stream);
+    if (inbox == nullptr)
+      return;
+    asio::post(loop, [inbox, event = CancelAnswered{stream.Attempt, answer}] {
+      inbox->push(event);
+    });
+  });
 }
 
 void CompletionRunner::perform(DeliverToken action) {
--- a/drivers/gateway/completion_runner.h
+++ b/drivers/gateway/completion_runner.h
@@ -7,13 +7,11 @@
 #include "drivers/gateway/background_calls.h"
 #include "drivers/gateway/node_gate.h"
 #include "drivers/gateway/shared_router.h"
+#include "drivers/loop/asio_use.h"
 #include "drivers/metrics/node_metrics.h"
 
-#include <condition_variable>
 #include <deque>
-#include <functional>
 #include <memory>
-#include <mutex>
 #include <optional>
 #include <string>
 #include <variant>
@@ -21,23 +19,28 @@
 
 namespace orioletally::drivers::gateway {
 
-/// Brings events from the threads of connections to the request's own thread.
+/// Brings what happens on connections to the request. Used on the event loop
+/// only.
 class EventInbox {
 public:
+  explicit EventInbox(asio::io_context &loop) : Arrived(loop) {}
+
   void push(core::requests::RequestEvent event);
 
-  /// Takes the next event, or nothing once \p until has come.
-  std::optional<core::requests::RequestEvent>
-  take(std::chrono::steady_clock::time_point until);
+  /// Takes the next event if there is one.
+  std::optional<core::requests::RequestEvent> tryTake();
+
+  /// Waits until there is an event, for at most \p bound.
+  asio::awaitable<void> wait(absl::Duration bound);
 
 private:
-  std::mutex Guard;
-  std::condition_variable Changed;
+  asio::steady_timer Arrived;
   std::deque<core::requests::RequestEvent> Events;
 };
 
 /// What a CompletionRunner works with; all of it outlives every runner.
 struct RunnerContext {
+  asio::io_context &Loop;
   core::backends::EngineClient &Engines;
   SharedRouter &Router;
   const core::charts::StateChart &Chart;
@@ -52,14 +55,12 @@
     std::variant<core::requests::DeliverToken, core::requests::RestartAnswer,
                  core::requests::CompleteAnswer, core::requests::FailAnswer>;
 
-/// Drives one RequestMachine on the thread of the caller's connection: it
-/// waits for events, keeps the time and carries out what the machine asks.
+/// Drives one RequestMachine on the event loop: it waits for events, keeps the
+/// time and carries out what the machine asks.
 class CompletionRunner {
 public:
-  /// \p isCallerGone is asked a few times a second.
   CompletionRunner(const RunnerContext &context,
-                   core::requests::RequestPlan plan, std::string prompt,
-                   std::function<bool()> isCallerGone);
+                   core::requests::RequestPlan plan, std::string prompt);
 
   /// Ends the request if it still runs.
   ~CompletionRunner();
@@ -68,16 +69,19 @@
 
   /// Waits for the next output. After CompleteAnswer or FailAnswer there is
   /// none.
-  RunnerOutput next();
+  asio::awaitable<RunnerOutput> next();
+
+  /// Takes the next output if it is there already.
+  std::optional<RunnerOutput> tryNext();
 
-  /// Whether next() would return at once.
-  bool hasNext();
+  /// Ends the request, because nobody waits for it any longer.
+  void callerLeft();
 
   const core::requests::RequestMachine &machine() const { return Machine; }
   absl::Time admitted() const { return Admitted; }
 
 private:
-  void advance();
+  asio::awaitable<void> advance();
   void feed(const core::requests::RequestEvent &event);
   void perform(core::requests::RequestActions actions);
   void observeLoad(const core::requests::RequestEvent &event);
@@ -98,9 +102,7 @@
 
   const RunnerContext &Context;
   std::string Prompt;
-  std::function<bool()> IsCallerGone;
   absl::Time Admitted;
-  absl::Time NextCheck = absl::InfinitePast();
   std::optional<absl::Time> LastToken;
   std::shared_ptr<EventInbox> Inbox;
   core::requests::RequestMachine Machine;
--- a/drivers/gateway/operator_api.cpp
+++ b/drivers/gateway/operator_api.cpp
@@ -88,42 +88,45 @@
 
 } // namespace
 
-void OperatorApi::registerRoutes(http::HttpServer &server) {
+void OperatorApi::registerRoutes(http::HttpRoutes &routes,
+                                 loop::WorkerThreads &threads) {
   const std::string named = R"(/v1/profiles/([^/]+))";
-  const auto guarded = [this](OperatorHandler handler) {
-    return forOperators(Context.Tokens, std::move(handler));
+  // The audit trail and changes wait for the table, so all of them may block.
+  const auto add = [&](std::string method, const std::string &pattern,
+                       OperatorHandler handler) {
+    routes.addBlocking(std::move(method), pattern, threads,
+                       forOperators(Context.Tokens, std::move(handler)));
   };
-  server.Get("/v1/profiles",
-             guarded([this](const auto &, auto &response, const auto &) {
-               listProfiles(response);
-             }));
-  server.Get(named,
-             guarded([this](const auto &request, auto &response, const auto &) {
-               showProfile(request.matches[1], response);
-             }));
-  server.Put(named, guarded([this](const auto &request, auto &response,
-                                   const auto &name) {
-               putProfile(request, response, name);
-             }));
-  server.Delete(named, guarded([this](const auto &request, auto &response,
-                                      const auto &name) {
-                  retireProfile(request, response, name);
-                }));
-  server.Get(named + "/history",
-             guarded([this](const auto &request, auto &response, const auto &) {
-               showAudit(request, response, request.matches[1]);
-             }));
-  server.Get("/v1/audit",
-             guarded([this](const auto &request, auto &response, const auto &) {
-               showAudit(request, response, "");
-             }));
-  server.Get(R"(/v1/revisions/(\d+))",
-             guarded([this](const auto &request, auto &response, const auto &) {
-               showChange(request.matches[1], response);
-             }));
+  add("GET", "/v1/profiles",
+      [this](const auto &, auto &response, const auto &) {
+        listProfiles(response);
+      });
+  add("GET", named, [this](const auto &request, auto &response, const auto &) {
+    showProfile(request.Matches[0], response);
+  });
+  add("PUT", named,
+      [this](const auto &request, auto &response, const auto &name) {
+        putProfile(request, response, name);
+      });
+  add("DELETE", named,
+      [this](const auto &request, auto &response, const auto &name) {
+        retireProfile(request, response, name);
+      });
+  add("GET", named + "/history",
+      [this](const auto &request, auto &response, const auto &) {
+        showAudit(request, response, request.Matches[0]);
+      });
+  add("GET", "/v1/audit",
+      [this](const auto &request, auto &response, const auto &) {
+        showAudit(request, response, "");
+      });
+  add("GET", R"(/v1/revisions/(\d+))",
+      [this](const auto &request, auto &response, const auto &) {
+        showChange(request.Matches[0], response);
+      });
 }
 
-void OperatorApi::listProfiles(httplib::Response &response) const {
+void OperatorApi::listProfiles(http::HttpResponse &response) const {
   const ProfileView::Snapshot set = Context.Profiles.current();
   json rows = json::array();
   for (const Profile *it : set->all())
@@ -133,7 +136,7 @@
 }
 
 void OperatorApi::showProfile(const std::string &name,
-                              httplib::Response &response) const {
+                              http::HttpResponse &response) const {
   const ProfileView::Snapshot set = Context.Profiles.current();
   const Profile *profile = set->findAny(name);
   if (profile == nullptr)
@@ -141,23 +144,23 @@
         response,
         refusal(ErrorCode::NotFound, "no such profile: " + name,
                 fmt::format("profiles at revision {}", set->revision())));
-  response.set_header("ETag", profile->entityTag());
+  response.setHeader("ETag", profile->entityTag());
   replyJson(response, StatusOk, profile->toJson());
 }
 
-void OperatorApi::putProfile(const httplib::Request &request,
-                             httplib::Response &response,
+void OperatorApi::putProfile(const http::HttpRequest &request,
+                             http::HttpResponse &response,
                              const std::string &operatorName) {
   ProfileChange wanted;
-  wanted.Name = request.matches[1];
+  wanted.Name = request.Matches[0];
   if (!core::profiles::isValidProfileName(wanted.Name))
     return replyError(response,
                       refusal(ErrorCode::BadRequest,
                               "profile name: expected 1 to 64 of a-z, 0-9, - "
                               "and _, beginning with a letter",
                               "profile names"));
-  const bool isCreate = request.get_header_value("If-None-Match") == "*";
-  const std::string tag = request.get_header_value("If-Match");
+  const bool isCreate = request.header("If-None-Match") == "*";
+  const std::string tag = request.header("If-Match");
   if (!isCreate && tag.empty())
     return replyError(response,
                       refusal(ErrorCode::PreconditionRequired,
@@ -165,20 +168,20 @@
                               "with the ETag to change",
                               "a change names the revision it was made from"));
   wanted.Kind = isCreate ? ChangeKind::Create : ChangeKind::Change;
-  auto fields = readFields(request.body);
+  auto fields = readFields(request.Body);
   if (const auto *error = std::get_if<RequestError>(&fields))
     return replyError(response, *error);
   wanted.Values = std::get<FieldValues>(std::move(fields));
   change(std::move(wanted), request, response, operatorName);
 }
 
-void OperatorApi::retireProfile(const httplib::Request &request,
-                                httplib::Response &response,
+void OperatorApi::retireProfile(const http::HttpRequest &request,
+                                http::HttpResponse &response,
                                 const std::string &operatorName) {
   ProfileChange wanted;
-  wanted.Name = request.matches[1];
+  wanted.Name = request.Matches[0];
   wanted.Kind = ChangeKind::Retire;
-  if (request.get_header_value("If-Match").empty())
+  if (request.header("If-Match").empty())
     return replyError(response,
                       refusal(ErrorCode::PreconditionRequired,
                               "expected If-Match with the ETag",
@@ -186,11 +189,11 @@
   change(std::move(wanted), request, response, operatorName);
 }
 
-void OperatorApi::change(ProfileChange wanted, const httplib::Request &request,
-                         httplib::Response &response,
+void OperatorApi::change(ProfileChange wanted, const http::HttpRequest &request,
+                         http::HttpResponse &response,
                          const std::string &operatorName) {
   if (wanted.Kind != ChangeKind::Create) {
-    const auto revision = revisionFromTag(request.get_header_value("If-Match"));
+    const auto revision = revisionFromTag(request.header("If-Match"));
     if (!revision.has_value())
       return replyError(response,
                         refusal(ErrorCode::BadRequest,
@@ -198,7 +201,7 @@
                                 "docs/API.md"));
     wanted.ExpectedRevision = *revision;
   }
-  wanted.ChangeId = request.get_header_value("X-Change-Id");
+  wanted.ChangeId = request.header("X-Change-Id");
   if (wanted.ChangeId.empty())
     wanted.ChangeId = newChangeId();
   if (wanted.ChangeId.size() > MaxChangeIdLength)
@@ -206,7 +209,8 @@
                       refusal(ErrorCode::BadRequest,
                               "X-Change-Id: expected at most 128 characters",
                               "docs/API.md"));
-  wanted.Origin = {operatorName, request.remote_addr, Context.Peers.self().Name,
+  wanted.Origin = {operatorName, request.RemoteAddress,
+                   Context.Peers.self().Name,
                    absl::FormatTime(absl::RFC3339_sec, clock::wallNow(),
                                     absl::UTCTimeZone())};
   if (wanted.Kind != ChangeKind::Retire)
@@ -214,7 +218,7 @@
         wanted.Values,
         {listedVms(Context.Router), Context.Tokens.workspaces()});
   const ChangeReply reply = Context.Changes.apply(wanted, Context.AcceptWait);
-  response.set_header("X-Change-Id", wanted.ChangeId);
+  response.setHeader("X-Change-Id", wanted.ChangeId);
   if (const auto *refusal = std::get_if<ChangeRefused>(&reply)) {
     log::write(log::Level::Warn, "profile_change_refused",
                {{"profile", wanted.Name},
@@ -223,9 +227,9 @@
                 {"reason", refusal->Error.Message}});
     replyError(response, refusal->Error);
     if (refusal->Against.has_value()) {
-      json body = json::parse(response.body);
+      json body = json::parse(response.Body);
       body["against"] = refusal->Against->toJson();
-      replyJson(response, response.status, body);
+      replyJson(response, response.Status, body);
     }
     return;
   }
@@ -237,7 +241,7 @@
               {"change_id", wanted.ChangeId},
               {"revision", done.After.Revision},
               {"waiting_for", done.WaitingFor}});
-  response.set_header("ETag", done.After.entityTag());
+  response.setHeader("ETag", done.After.entityTag());
   const int acceptedStatus =
       wanted.Kind == ChangeKind::Create ? StatusCreated : StatusOk;
   replyJson(response, isAccepted ? acceptedStatus : StatusAccepted,
@@ -249,16 +253,16 @@
              {"profile", done.After.toJson()}});
 }
 
-void OperatorApi::showAudit(const httplib::Request &request,
-                            httplib::Response &response,
+void OperatorApi::showAudit(const http::HttpRequest &request,
+                            http::HttpResponse &response,
                             const std::string &profileName) {
   uint64_t after = 0;
   int limit = DefaultAuditRows;
   const bool isReadable =
-      (!request.has_param("after") ||
-       absl::SimpleAtoi(request.get_param_value("after"), &after)) &&
-      (!request.has_param("limit") ||
-       absl::SimpleAtoi(request.get_param_value("limit"), &limit));
+      (!request.Query.contains("after") ||
+       absl::SimpleAtoi(request.Query.at("after"), &after)) &&
+      (!request.Query.contains("limit") ||
+       absl::SimpleAtoi(request.Query.at("limit"), &limit));
   if (!isReadable || limit < 1 || limit > MaxAuditRows)
     return replyError(response,
                       refusal(ErrorCode::BadRequest,
@@ -295,7 +299,7 @@
 }
 
 void OperatorApi::showChange(const std::string &revision,
-                             httplib::Response &response) const {
+                             http::HttpResponse &response) const {
   uint64_t n = 0;
   const uint64_t own = Context.Profiles.current()->revision();
   if (!absl::SimpleAtoi(revision, &n) || n > own)
--- a/drivers/gateway/operator_api.h
+++ b/drivers/gateway/operator_api.h
@@ -7,7 +7,7 @@
 #include "drivers/gateway/profile_view.h"
 #include "drivers/gateway/request_journal.h"
 #include "drivers/gateway/shared_router.h"
-#include "drivers/http/http_server.h"
+#include "drivers/http/http_routes.h"
 #include "drivers/metrics/node_metrics.h"
 #include "drivers/platform/http_table_service.h"
 
@@ -36,23 +36,25 @@
 public:
   explicit OperatorApi(const OperatorContext &parts) : Context(parts) {}
 
-  void registerRoutes(http::HttpServer &server);
+  /// Adds the paths; what may block runs on \p threads.
+  void registerRoutes(http::HttpRoutes &routes, loop::WorkerThreads &threads);
 
 private:
-  void listProfiles(httplib::Response &response) const;
-  void showProfile(const std::string &name, httplib::Response &response) const;
-  void putProfile(const httplib::Request &request, httplib::Response &response,
+  void listProfiles(http::HttpResponse &response) const;
+  void showProfile(const std::string &name, http::HttpResponse &response) const;
+  void putProfile(const http::HttpRequest &request,
+                  http::HttpResponse &response,
                   const std::string &operatorName);
-  void retireProfile(const httplib::Request &request,
-                     httplib::Response &response,
+  void retireProfile(const http::HttpRequest &request,
+                     http::HttpResponse &response,
                      const std::string &operatorName);
   void change(core::profiles::ProfileChange wanted,
-              const httplib::Request &request, httplib::Response &response,
+              const http::HttpRequest &request, http::HttpResponse &response,
               const std::string &operatorName);
-  void showAudit(const httplib::Request &request, httplib::Response &response,
+  void showAudit(const http::HttpRequest &request, http::HttpResponse &response,
                  const std::string &profileName);
   void showChange(const std::string &revision,
-                  httplib::Response &response) const;
+                  http::HttpResponse &response) const;
 
   const OperatorContext &Context;
 };
--- a/drivers/gateway/operator_auth.cpp
+++ b/drivers/gateway/operator_auth.cpp
@@ -9,12 +9,11 @@
 using core::errors::ErrorCode;
 using core::errors::refusal;
 
-httplib::Server::Handler forOperators(const CallerTokens &tokens,
-                                      OperatorHandler handler) {
+http::PlainHandler forOperators(const CallerTokens &tokens,
+                                OperatorHandler handler) {
   return [&tokens, handler = std::move(handler)](
-             const httplib::Request &request, httplib::Response &response) {
-    const auto principal =
-        tokens.find(request.get_header_value("Authorization"));
+             const http::HttpRequest &request, http::HttpResponse &response) {
+    const auto principal = tokens.find(request.header("Authorization"));
     if (!principal.has_value())
       return replyError(response,
                         refusal(ErrorCode::Unauthorized, "unknown bearer token",
--- a/drivers/gateway/status_api.cpp
+++ b/drivers/gateway/status_api.cpp
@@ -68,27 +68,29 @@
 
 } // namespace
 
-void StatusApi::registerRoutes(http::HttpServer &server) {
-  server.Get("/v1/status",
-             forOperators(Context.Tokens,
-                          [this](const auto &, auto &response, const auto &) {
-                            showStatus(response);
-                          }));
-  server.Get(R"(/v1/requests/([^/]+))",
-             forOperators(Context.Tokens, [this](const auto &request,
-                                                 auto &response, const auto &) {
-               showRequest(request.matches[1], response);
-             }));
-  server.Get("/metrics",
-             [this](const auto &, auto &response) { showMetrics(response); });
-  server.Get("/healthz", [](const auto &, auto &response) {
+void StatusApi::registerRoutes(http::HttpRoutes &routes) {
+  routes.addPlain("GET", "/v1/status",
+                  forOperators(Context.Tokens,
+                               [this](const auto &, auto &response,
+                                      const auto &) { showStatus(response); }));
+  routes.addPlain(
+      "GET", R"(/v1/requests/([^/]+))",
+      forOperators(Context.Tokens,
+                   [this](const auto &request, auto &response, const auto &) {
+                     showRequest(request.Matches[0], response);
+                   }));
+  routes.addPlain("GET", "/metrics", [this](const auto &, auto &response) {
+    showMetrics(response);
+  });
+  routes.addPlain("GET", "/healthz", [](const auto &, auto &response) {
     replyJson(response, StatusOk, {{"status", "alive"}});
   });
-  server.Get("/readyz",
-             [this](const auto &, auto &response) { showReadiness(response); });
+  routes.addPlain("GET", "/readyz", [this](const auto &, auto &response) {
+    showReadiness(response);
+  });
 }
 
-void StatusApi::showReadiness(httplib::Response &response) const {
+void StatusApi::showReadiness(http::HttpResponse &response) const {
   const bool isReady = Context.IsReady() && !Context.Gate.isDraining();
   replyJson(response, isReady ? StatusOk : StatusUnavailable,
             {{"status", isReady ? "ready" : "not ready"},
@@ -96,7 +98,7 @@
              {"profile_revision", Context.Profiles.current()->revision()}});
 }
 
-void StatusApi::showStatus(httplib::Response &response) const {
+void StatusApi::showStatus(http::HttpResponse &response) const {
   json members = json::array();
   members.push_back(memberJson(Context.Peers.self(), "alive"));
   for (const MemberView &it : Context.Peers.members())
@@ -113,7 +115,7 @@
 }
 
 void StatusApi::showRequest(const std::string &id,
-                            httplib::Response &response) const {
+                            http::HttpResponse &response) const {
   const auto found = Context.Journal.find(id);
   if (!found.has_value())
     return replyError(
@@ -124,7 +126,7 @@
   replyJson(response, StatusOk, *found);
 }
 
-void StatusApi::showMetrics(httplib::Response &response) const {
+void StatusApi::showMetrics(http::HttpResponse &response) const {
   Context.Metrics.setInProgress(Context.Gate.inProgress());
   int64_t alive = 1;
   for (const MemberView &it : Context.Peers.members())
@@ -138,7 +140,7 @@
   }
   Context.Metrics.setPeerBytes(Context.Peers.counts().Sent,
                                Context.Peers.counts().Received);
-  response.set_content(Context.Metrics.text(), "text/plain; version=0.0.4");
+  response.setContent(Context.Metrics.text(), "text/plain; version=0.0.4");
 }
 
 } // namespace orioletally::drivers::gateway
--- a/drivers/gateway/status_api.h
+++ b/drivers/gateway/status_api.h
@@ -13,13 +13,13 @@
 public:
   explicit StatusApi(const OperatorContext &parts) : Context(parts) {}
 
-  void registerRoutes(http::HttpServer &server);
+  void registerRoutes(http::HttpRoutes &routes);
 
 private:
-  void showReadiness(httplib::Response &response) const;
-  void showStatus(httplib::Response &response) const;
-  void showRequest(const std::string &id, httplib::Response &response) const;
-  void showMetrics(httplib::Response &response) const;
+  void showReadiness(http::HttpResponse &response) const;
+  void showStatus(http::HttpResponse &response) const;
+  void showRequest(const std::string &id, http::HttpResponse &response) const;
+  void showMetrics(http::HttpResponse &response) const;
 
   const OperatorContext &Context;
 };
--- a/drivers/http/http_exchange.cpp
+++ b/drivers/http/http_exchange.cpp
@@ -1,119 +1,202 @@
 #include "drivers/http/http_exchange.h"
 
-#include "drivers/clock/clock.h"
+#include "drivers/loop/endpoint.h"
+#include "drivers/loop/event_loop.h"
 
-#include <condition_variable>
+#include <boost/asio/post.hpp>
+#include <limits>
 #include <mutex>
 #include <utility>
 
 namespace orioletally::drivers::http {
 
+using loop::AsTuple;
+
 namespace {
 
-constexpr auto StopPause = std::chrono::milliseconds(5);
-constexpr auto NoReadBound = std::chrono::hours(24);
-
-bool wasWritten(httplib::Error error) {
-  switch (error) {
-  case httplib::Error::Connection:
-  case httplib::Error::BindIPAddress:
-  case httplib::Error::ConnectionTimeout:
-    return false;
-  default:
-    return true;
+using Endpoint = asio::ip::tcp::endpoint;
+
+asio::awaitable<std::optional<Endpoint>> resolve(std::string address) {
+  if (const auto endpoint = loop::parseEndpoint(address)) {
+    co_return endpoint;
+  }
+  const size_t colon = address.rfind(':');
+  if (colon == std::string::npos) {
+    co_return std::nullopt;
   }
+  asio::ip::tcp::resolver resolver(co_await asio::this_coro::executor);
+  const std::string host = address.substr(0, colon);
+  const std::string port = address.substr(colon + 1);
+  const auto [ec, found] = co_await resolver.async_resolve(host, port, AsTuple);
+  if (ec || found.empty()) {
+    co_return std::nullopt;
+  }
+  co_return found.begin()->endpoint();
 }
 
-} // namespace
+bhttp::request<bhttp::string_body> messageFrom(ExchangeRequest &wanted) {
+  bhttp::request<bhttp::string_body> message(
+      bhttp::string_to_verb(wanted.Method), wanted.Path, 11);
+  message.set(bhttp::field::host, wanted.Address);
+  message.set(bhttp::field::connection, "close");
+  for (const auto &[name, value] : wanted.Headers)
+    message.insert(name, value);
+  if (!wanted.Body.empty() &&
+      message.find(bhttp::field::content_type) == message.end())
+    message.set(bhttp::field::content_type, wanted.ContentType);
+  message.body() = std::move(wanted.Body);
+  message.prepare_payload();
+  return message;
+}
 
-HttpExchange::HttpExchange(ExchangeRequest wanted, DataHandler data,
-                           EndHandler end)
-    : Client("http://" + wanted.Address) {
-  Client.set_connection_timeout(absl::ToChronoMicroseconds(wanted.Connect));
-  Client.set_read_timeout(NoReadBound);
-  Client.set_tcp_nodelay(true);
-  Client.set_keep_alive(false);
-  Worker =
-      std::thread([this, wanted = std::move(wanted), data = std::move(data),
-                   end = std::move(end)]() mutable {
-        run(std::move(wanted), data, end);
-        Done = true;
-      });
+HeaderMap headersOf(const bhttp::fields &fields) {
+  HeaderMap result;
+  for (const auto &it : fields)
+    result.emplace(it.name_string(), it.value());
+  return result;
 }
 
-HttpExchange::~HttpExchange() {
-  // A stop that comes before the connection is open has no effect in the
-  // library, so it is repeated until the thread is through.
-  while (!Done) {
-    stop();
-    std::this_thread::sleep_for(StopPause);
+} // namespace
+
+/// The part of an exchange that the loop works on; it lives until both the
+/// exchange and the loop are done with it.
+class HttpExchange::Run : public std::enable_shared_from_this<Run> {
+public:
+  Run(asio::io_context &loop, DataHandler data, EndHandler end)
+      : Stream(loop), Data(std::move(data)), End(std::move(end)) {}
+
+  asio::awaitable<void> run([[maybe_unused]] std::shared_ptr<Run> self,
+                            ExchangeRequest wanted) {
+    ExchangeEnd result;
+    result.Error = co_await connect(wanted);
+    if (result.Error.empty()) {
+      result.Error = co_await send(std::move(wanted), result);
+    }
+    if (result.Error.empty()) {
+      result.Error = co_await receive(result);
+    }
+    result.Whole = result.Error.empty();
+    Stream.close();
+    const std::lock_guard lock(Guard);
+    if (!Silenced) {
+      End(result);
+    }
+  }
+
+  void close() {
+    asio::post(Stream.get_executor(), [self = shared_from_this()] {
+      self->Closed = true;
+      self->Stream.close();
+    });
+  }
+
+  /// Waits for a handler that another thread is in.
+  void silence() {
+    const std::lock_guard lock(Guard);
+    Silenced = true;
+  }
+
+private:
+  asio::awaitable<std::string> connect(const ExchangeRequest &wanted) {
+    const std::optional<Endpoint> endpoint = co_await resolve(wanted.Address);
+    if (!endpoint.has_value()) {
+      co_return "can't resolve " + wanted.Address;
+    }
+    if (Closed) {
+      co_return "stopped";
+    }
+    Stream.expires_after(absl::ToChronoNanoseconds(wanted.Connect));
+    const auto [ec] = co_await Stream.async_connect(*endpoint, AsTuple);
+    if (ec) {
+      co_return "connect " + wanted.Address + ": " + ec.message();
+    }
+    Stream.expires_never();
+    loop::tuneSocket(Stream.socket());
+    co_return "";
+  }
+
+  asio::awaitable<std::string> send(ExchangeRequest wanted,
+                                    ExchangeEnd &result) {
+    const bhttp::request<bhttp::string_body> message = messageFrom(wanted);
+    result.Written = true;
+    const auto [ec, n] = co_await bhttp::async_write(Stream, message, AsTuple);
+    co_return ec ? "write: " + ec.message() : std::string();
   }
-  Worker.join();
-}
 
-void HttpExchange::stop() {
-  Stopped = true;
-  Client.stop();
+  asio::awaitable<std::string> receive(ExchangeEnd &result) {
+    beast::flat_buffer buffer;
+    bhttp::response_parser<bhttp::string_body> parser;
+    parser.body_limit(std::numeric_limits<uint64_t>::max());
+    const auto [headError, headBytes] =
+        co_await bhttp::async_read_header(Stream, buffer, parser, AsTuple);
+    if (headError) {
+      co_return "read: " + headError.message();
+    }
+    result.Status = static_cast<int>(parser.get().result_int());
+    result.Headers = headersOf(parser.get());
+    while (!parser.is_done()) {
+      const auto [ec, n] =
+          co_await bhttp::async_read_some(Stream, buffer, parser, AsTuple);
+      take(result.Status, parser.get().body());
+      if (ec) {
+        co_return "read: " + ec.message();
+      }
+    }
+    co_return "";
+  }
+
+  void take(int status, std::string &piece) {
+    const std::lock_guard lock(Guard);
+    if (!Silenced && !piece.empty())
+      Data(status, piece);
+    piece.clear();
+  }
+
+  beast::tcp_stream Stream;
+  DataHandler Data;
+  EndHandler End;
+  /// Held while a handler runs; a handler may destroy the exchange.
+  std::recursive_mutex Guard;
+  bool Silenced = false;
+  /// Set on the loop: a socket that is closed before it connects would be
+  /// opened again.
+  bool Closed = false;
+};
+
+HttpExchange::HttpExchange(asio::io_context &loop, ExchangeRequest wanted,
+                           DataHandler data, EndHandler end)
+    : Running(std::make_shared<Run>(loop, std::move(data), std::move(end))) {
+  asio::co_spawn(loop, Running->run(Running, std::move(wanted)),
+                 asio::detached);
 }
 
-void HttpExchange::run(ExchangeRequest wanted, const DataHandler &data,
-                       const EndHandler &end) {
-  ExchangeEnd result;
-  httplib::Request request;
-  request.method = std::move(wanted.Method);
-  request.path = std::move(wanted.Path);
-  request.headers = std::move(wanted.Headers);
-  request.body = std::move(wanted.Body);
-  if (!request.body.empty())
-    request.set_header("Content-Type", wanted.ContentType);
-  request.response_handler = [&](const httplib::Response &response) {
-    result.Status = response.status;
-    result.Headers = response.headers;
-    return !Stopped;
-  };
-  request.content_receiver = [&](const char *ptr, size_t n, uint64_t,
-                                 uint64_t) {
-    if (!Stopped)
-      data(result.Status, std::string_view(ptr, n));
-    return !Stopped;
-  };
-  const httplib::Result answer = Client.send(request);
-  result.Whole = static_cast<bool>(answer);
-  result.Written = wasWritten(answer.error());
-  if (!answer)
-    result.Error = httplib::to_string(answer.error());
-  end(result);
+HttpExchange::~HttpExchange() {
+  Running->silence();
+  stop();
 }
 
+void HttpExchange::stop() { Running->close(); }
+
 ExchangeEnd exchangeWithin(ExchangeRequest wanted, absl::Duration bound,
                            std::string &body) {
-  std::mutex guard;
-  std::condition_variable changed;
   std::string received;
   ExchangeEnd result;
   bool isDone = false;
-  const absl::Time now = clock::steadyNow();
+  loop::EventLoop own;
   HttpExchange exchange(
-      std::move(wanted),
+      own, std::move(wanted),
       [&](int, std::string_view piece) { received.append(piece); },
       [&](const ExchangeEnd &end) {
-        const std::lock_guard lock(guard);
         result = end;
         isDone = true;
-        changed.notify_all();
       });
-  std::unique_lock lock(guard);
-  const auto until = clock::waitPoint(now + bound, now);
-  if (!changed.wait_until(lock, until, [&] { return isDone; })) {
-    while (!isDone) {
-      lock.unlock();
-      exchange.stop();
-      lock.lock();
-      changed.wait_for(lock, StopPause, [&] { return isDone; });
-    }
+  own.run_for(absl::ToChronoNanoseconds(bound));
+  if (!isDone) {
+    exchange.stop();
+    own.restart();
+    own.run();
     result.Whole = false;
-    if (result.Error.empty())
-      result.Error = "no whole answer in time";
+    result.Error = "no whole answer in time";
   }
   body = std::move(received);
   return result;
--- a/drivers/http/http_exchange.h
+++ b/drivers/http/http_exchange.h
@@ -1,25 +1,26 @@
 #ifndef ORIOLETALLY_DRIVERS_HTTP_HTTP_EXCHANGE_H
 #define ORIOLETALLY_DRIVERS_HTTP_HTTP_EXCHANGE_H
 
+#include "drivers/http/http_message.h"
+
 #include <absl/time/time.h>
-#include <atomic>
+#include <boost/asio/io_context.hpp>
 #include <functional>
-#include <httplib.h>
+#include <memory>
 #include <string>
 #include <string_view>
-#include <thread>
 
 namespace orioletally::drivers::http {
 
 /// One request over a connection of its own.
 struct ExchangeRequest {
-  /// "ip:port".
+  /// "ip:port" or "name:port".
   std::string Address;
   std::string Method;
   std::string Path;
   std::string Body;
   std::string ContentType = "application/json";
-  httplib::Headers Headers;
+  HeaderMap Headers;
   absl::Duration Connect;
 };
 
@@ -32,21 +33,22 @@
   /// Whether any byte of the request may have left this process.
   bool Written = false;
   std::string Error;
-  httplib::Headers Headers;
+  HeaderMap Headers;
 };
 
-/// Runs one HTTP request on a thread of its own and hands out the answer as it
+/// Runs one HTTP request on an event loop and hands out the answer as it
 /// arrives. It has no bound on reading: whoever started it stops it in time.
 class HttpExchange {
 public:
-  /// Called with the status and each piece of the body.
+  /// Called with the status and each piece of the body, on the loop.
   using DataHandler = std::function<void(int status, std::string_view data)>;
-  /// Called once, last.
+  /// Called once, last, on the loop.
   using EndHandler = std::function<void(const ExchangeEnd &end)>;
 
-  HttpExchange(ExchangeRequest wanted, DataHandler data, EndHandler end);
+  HttpExchange(boost::asio::io_context &loop, ExchangeRequest wanted,
+               DataHandler data, EndHandler end);
 
-  /// Stops and waits for the thread; no handler is called afterwards.
+  /// Stops; no handler is called afterwards.
   ~HttpExchange();
   HttpExchange(const HttpExchange &) = delete;
   HttpExchange &operator=(const HttpExchange &) = delete;
@@ -55,17 +57,12 @@
   void stop();
 
 private:
-  void run(ExchangeRequest wanted, const DataHandler &data,
-           const EndHandler &end);
-
-  httplib::Client Client;
-  std::atomic<bool> Stopped = false;
-  std::atomic<bool> Done = false;
-  std::thread Worker;
+  class Run;
+  std::shared_ptr<Run> Running;
 };
 
 /// Sends \p wanted and waits for the whole answer for at most \p bound. The
-/// body goes to \p body.
+/// body goes to \p body. Runs a loop of its own on the calling thread.
 ExchangeEnd exchangeWithin(ExchangeRequest wanted, absl::Duration bound,
                            std::string &body);
 
--- /dev/null
+++ b/drivers/http/http_reply.h
@@ -0,0 +1,54 @@
+#ifndef ORIOLETALLY_DRIVERS_HTTP_HTTP_REPLY_H
+#define ORIOLETALLY_DRIVERS_HTTP_HTTP_REPLY_H
+
+#include "drivers/http/http_message.h"
+#include "drivers/loop/asio_use.h"
+
+#include <absl/time/time.h>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace orioletally::drivers::http {
+
+/// A handler's way to answer: fill in Answer and return, or stream its body by
+/// write() and end it by finish(). A stream without its finish() is cut.
+class HttpReply {
+public:
+  HttpReply(beast::tcp_stream &connection, unsigned version,
+            absl::Duration writeBound);
+
+  HttpResponse Answer;
+
+  /// Sends \p piece of the body, after the head of Answer the first time.
+  /// False when the caller is gone or takes nothing for the write bound.
+  asio::awaitable<bool> write(std::string piece);
+
+  /// Ends the body.
+  asio::awaitable<bool> finish();
+
+  /// Calls \p handler once when the caller closes its side, while the request
+  /// is handled.
+  void onCallerGone(std::function<void()> handler);
+
+  /// Called by the session when it sees the caller close.
+  void callerGone();
+
+  bool hasBegun() const { return Begun; }
+  bool isFinished() const { return Finished; }
+
+private:
+  asio::awaitable<bool> begin();
+
+  beast::tcp_stream &Connection;
+  unsigned Version;
+  absl::Duration WriteBound;
+  std::function<void()> GoneHandler;
+  bool Begun = false;
+  bool Finished = false;
+  bool Gone = false;
+};
+
+} // namespace orioletally::drivers::http
+
+#endif
--- /dev/null
+++ b/drivers/http/http_routes.h
@@ -0,0 +1,69 @@
+#ifndef ORIOLETALLY_DRIVERS_HTTP_HTTP_ROUTES_H
+#define ORIOLETALLY_DRIVERS_HTTP_HTTP_ROUTES_H
+
+#include "drivers/http/http_message.h"
+#include "drivers/http/http_reply.h"
+#include "drivers/loop/asio_use.h"
+#include "drivers/loop/worker_threads.h"
+
+#include <functional>
+#include <regex>
+#include <string>
+#include <vector>
+
+namespace orioletally::drivers::http {
+
+/// Answers a request on the event loop.
+using HttpHandler = std::function<asio::awaitable<void>(HttpRequest &request,
+                                                        HttpReply &reply)>;
+
+/// Answers a request at once.
+using PlainHandler =
+    std::function<void(const HttpRequest &request, HttpResponse &response)>;
+
+/// Why a request reaches no handler, or its handler failed.
+enum class HttpFault { Malformed, TooLarge, Late, NoRoute, HandlerFailed };
+
+/// Says what a request with a fault is answered.
+using FaultPage =
+    std::function<HttpResponse(HttpFault fault, const std::string &path)>;
+
+/// The handlers of a server by method and path.
+class HttpRoutes {
+public:
+  HttpRoutes();
+
+  /// \p pattern is a regular expression for the whole path.
+  void add(std::string method, const std::string &pattern, HttpHandler handler);
+
+  /// Adds a handler that answers at once, on the loop.
+  void addPlain(std::string method, const std::string &pattern,
+                PlainHandler handler);
+
+  /// Adds a handler that may block, on one of \p threads.
+  void addBlocking(std::string method, const std::string &pattern,
+                   loop::WorkerThreads &threads, PlainHandler handler);
+
+  void setFaultPage(FaultPage page) { Page = std::move(page); }
+  HttpResponse faultPage(HttpFault fault, const std::string &path) const {
+    return Page(fault, path);
+  }
+
+  /// Returns the handler of \p request and fills in its matches; null when no
+  /// route fits.
+  const HttpHandler *find(HttpRequest &request) const;
+
+private:
+  struct Route {
+    std::string Method;
+    std::regex Pattern;
+    HttpHandler Handler;
+  };
+
+  std::vector<Route> Routes;
+  FaultPage Page;
+};
+
+} // namespace orioletally::drivers::http
+
+#endif
--- a/drivers/http/http_server.cpp
+++ b/drivers/http/http_server.cpp
@@ -1,138 +1,62 @@
 #include "drivers/http/http_server.h"
 
-#include "drivers/clock/clock.h"
-#include "drivers/http/socket_stream.h"
+#include "drivers/http/http_session.h"
+#include "drivers/log/log.h"
 
-#include <cerrno>
-#include <cstring>
 #include <fmt/format.h>
-#include <poll.h>
-#include <sys/socket.h>
-#include <unistd.h>
+#include <utility>
 
 namespace leaf = boost::leaf;
 
 namespace orioletally::drivers::http {
 
-namespace {
-
-constexpr int ListenBacklog = 1024;
-constexpr int IdlePollMs = 100;
-
-thread_local ConnectionClass Class = ConnectionClass::Kept;
-
-void shareNothing(socket_t sock) {
-  // SO_REUSEPORT, the library's default, would let a second process take half
-  // of the connections without an error.
-  const int yes = 1;
-  setsockopt(sock, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
-}
-
-} // namespace
-
-ConnectionThreads::ConnectionThreads(size_t limit) : Limit(limit) {}
-
-ConnectionClass ConnectionThreads::connectionClass() { return Class; }
-
-ConnectionClass ConnectionThreads::enter() {
-  const std::lock_guard lock(Guard);
-  ++Running;
-  if (Running <= Limit)
-    return ConnectionClass::Kept;
-  return Running <= 2 * Limit ? ConnectionClass::OneRequest
-                              : ConnectionClass::Closed;
+HttpServer::HttpServer(asio::io_context &loop, HttpServerSettings wanted)
+    : Loop(loop), Shared(std::make_shared<Part>()) {
+  Shared->Wanted = std::move(wanted);
 }
 
-void ConnectionThreads::leave() {
-  const std::lock_guard lock(Guard);
-  --Running;
-  Ended.notify_all();
-}
-
-void ConnectionThreads::enqueue(std::function<void()> fn) {
-  const ConnectionClass entered = enter();
-  if (entered == ConnectionClass::Closed) {
-    Class = entered;
-    fn();
-    leave();
-    return;
-  }
-  std::thread([this, fn = std::move(fn), entered] {
-    Class = entered;
-    fn();
-    leave();
-  }).detach();
-}
-
-void ConnectionThreads::shutdown() {
-  std::unique_lock lock(Guard);
-  Ended.wait(lock, [this] { return Running == 0; });
-}
-
-HttpServer::HttpServer(const HttpServerSettings &wanted) : Wanted(wanted) {
-  set_socket_options(shareNothing);
-  set_tcp_nodelay(true);
-  set_payload_max_length(Wanted.MaxBodyBytes);
-  new_task_queue = [this] {
-    return new ConnectionThreads(Wanted.MaxConnections);
-  };
-}
-
-HttpServer::~HttpServer() { stop(); }
+HttpServer::~HttpServer() = default;
 
 leaf::result<void> HttpServer::start() {
-  const std::string where = fmt::format("{}:{}", Wanted.Address, Wanted.Port);
-  if (Wanted.Port == 0)
-    Port = bind_to_any_port(Wanted.Address);
-  else
-    Port = bind_to_port(Wanted.Address, Wanted.Port) ? Wanted.Port : -1;
-  if (Port <= 0)
-    return leaf::new_error(ListenError{where, std::strerror(errno)});
-  ::listen(svr_sock_, ListenBacklog);
-  Acceptor = std::thread([this] { listen_after_bind(); });
-  while (!is_running())
-    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  BOOST_LEAF_ASSIGN(
+      Listener,
+      loop::Listener::open(Loop, fmt::format("{}:{}", Shared->Wanted.Address,
+                                             Shared->Wanted.Port)));
+  Port = Listener->port();
+  Listener->start(
+      [this](asio::ip::tcp::socket socket) { take(std::move(socket)); });
   return {};
 }
 
-void HttpServer::stop() {
-  Stopping = true;
-  if (!Acceptor.joinable())
+void HttpServer::take(asio::ip::tcp::socket socket) {
+  const size_t limit = Shared->Wanted.MaxConnections;
+  if (Shared->Open >= 2 * limit) {
+    log::write(log::Level::Warn, "connection_refused",
+               {{"connections", Shared->Open}});
     return;
-  httplib::Server::stop();
-  Acceptor.join();
-}
-
-bool HttpServer::waitForRequest(const SocketStream &stream) const {
-  if (stream.hasBuffered())
-    return true;
-  const absl::Time until = clock::steadyNow() + Wanted.IdleBound;
-  while (!Stopping && clock::steadyNow() < until) {
-    pollfd entry{stream.socket(), POLLIN, 0};
-    if (::poll(&entry, 1, IdlePollMs) > 0)
-      return true;
   }
-  return false;
+  const bool isLast = Shared->Open >= limit;
+  auto session =
+      std::make_shared<HttpSession>(Shared, std::move(socket), isLast);
+  ++Shared->Open;
+  const auto serve =
+      [](std::shared_ptr<Part> part,
+         std::shared_ptr<HttpSession> served) -> asio::awaitable<void> {
+    const auto it = part->Sessions.insert(part->Sessions.end(), served);
+    co_await served->run();
+    part->Sessions.erase(it);
+    --part->Open;
+  };
+  asio::co_spawn(Loop, serve(Shared, std::move(session)), asio::detached);
 }
 
-bool HttpServer::process_and_close_socket(socket_t sock) {
-  SocketStream stream(sock, Wanted.WriteBound);
-  const CurrentConnectionScope scope(stream);
-  bool isServed = false;
-  bool isClosed = false;
-  const bool isRefused =
-      ConnectionThreads::connectionClass() == ConnectionClass::Closed;
-  while (!isRefused && !isClosed && waitForRequest(stream)) {
-    stream.boundReads(clock::steadyNow() + Wanted.RequestBound);
-    const bool isLast = Stopping || ConnectionThreads::connectionClass() !=
-                                        ConnectionClass::Kept;
-    isServed = process_request(stream, isLast, isClosed, nullptr);
-    if (!isServed || isLast || stream.timedOut())
-      break;
-  }
-  ::shutdown(sock, SHUT_RDWR);
-  ::close(sock);
-  return isServed;
+void HttpServer::close() {
+  Shared->Closing = true;
+  if (Listener != nullptr)
+    Listener->close();
+  for (const std::weak_ptr<HttpSession> &it : Shared->Sessions)
+    if (const auto session = it.lock())
+      session->closeIfIdle();
 }
 
 } // namespace orioletally::drivers::http
--- a/drivers/http/http_server.h
+++ b/drivers/http/http_server.h
@@ -1,25 +1,19 @@
 #ifndef ORIOLETALLY_DRIVERS_HTTP_HTTP_SERVER_H
 #define ORIOLETALLY_DRIVERS_HTTP_HTTP_SERVER_H
 
+#include "drivers/http/http_reply.h"
+#include "drivers/http/http_routes.h"
+#include "drivers/loop/listener.h"
+
 #include <absl/time/time.h>
-#include <atomic>
 #include <boost/leaf.hpp>
-#include <condition_variable>
-#include <httplib.h>
+#include <list>
 #include <memory>
-#include <mutex>
 #include <string>
-#include <thread>
 
 namespace orioletally::drivers::http {
 
-class SocketStream;
-
-/// The server can't listen where it was told to.
-struct ListenError {
-  std::string Address;
-  std::string Reason;
-};
+class HttpSession;
 
 /// Parameters of an HttpServer.
 struct HttpServerSettings {
@@ -32,67 +26,55 @@
   size_t MaxBodyBytes = 16777216;
   /// Time for one whole request to arrive.
   absl::Duration RequestBound = absl::Seconds(10);
+  /// Time for one piece of an answer to be taken by the caller.
   absl::Duration WriteBound = absl::Seconds(10);
   /// Time that a connection may stay open between two requests.
   absl::Duration IdleBound = absl::Seconds(5);
 };
 
-/// How a connection is treated, by how many there are already.
-enum class ConnectionClass { Kept, OneRequest, Closed };
-
-/// Runs each accepted connection on a thread of its own, up to a limit.
-class ConnectionThreads : public httplib::TaskQueue {
+/// Serves HTTP on an event loop: one connection is one coroutine. Handlers run
+/// on the loop and must not block it; blocking work goes to WorkerThreads.
+class HttpServer {
 public:
-  explicit ConnectionThreads(size_t limit);
-
-  void enqueue(std::function<void()> fn) override;
-  void shutdown() override;
-
-  /// The treatment of the connection that this thread serves.
-  static ConnectionClass connectionClass();
+  HttpServer(asio::io_context &loop, HttpServerSettings wanted);
+  ~HttpServer();
+  HttpServer(const HttpServer &) = delete;
+  HttpServer &operator=(const HttpServer &) = delete;
 
-private:
-  ConnectionClass enter();
-  void leave();
-
-  std::mutex Guard;
-  std::condition_variable Ended;
-  size_t Limit;
-  size_t Running = 0;
-};
+  /// Requests are given to the first route that fits; set before start().
+  HttpRoutes &routes() { return Shared->Routes; }
 
-/// A cpp-httplib server with a listen backlog that holds a burst, exclusive
-/// use of its port, a thread a connection and a bound on slow callers.
-class HttpServer : private httplib::Server {
-public:
-  explicit HttpServer(const HttpServerSettings &wanted);
-  ~HttpServer() override;
-
-  using httplib::Server::Delete;
-  using httplib::Server::Get;
-  using httplib::Server::Post;
-  using httplib::Server::Put;
-  using httplib::Server::set_error_handler;
-  using httplib::Server::set_exception_handler;
-  using httplib::Server::set_post_routing_handler;
-
-  /// Binds and begins to serve on a thread of its own.
+  /// Binds and begins to serve. Fails with loop::ListenError.
   boost::leaf::result<void> start();
 
-  /// Stops accepting, ends idle connections and waits for those in progress.
-  void stop();
+  /// Takes no new connections, closes idle ones and lets each of the others
+  /// end its request. On the loop.
+  void close();
+
+  /// Connections that are open now. On the loop.
+  size_t connections() const { return Shared->Open; }
 
   /// The port in use after start().
   int port() const { return Port; }
 
 private:
-  bool process_and_close_socket(socket_t sock) override;
-  bool waitForRequest(const SocketStream &stream) const;
-
-  HttpServerSettings Wanted;
+  friend class HttpSession;
+
+  /// What the sessions share with the server; it outlives both.
+  struct Part {
+    HttpServerSettings Wanted;
+    HttpRoutes Routes;
+    size_t Open = 0;
+    bool Closing = false;
+    std::list<std::weak_ptr<HttpSession>> Sessions;
+  };
+
+  void take(asio::ip::tcp::socket socket);
+
+  asio::io_context &Loop;
+  std::shared_ptr<Part> Shared;
+  std::shared_ptr<loop::Listener> Listener;
   int Port = 0;
-  std::atomic<bool> Stopping = false;
-  std::thread Acceptor;
 };
 
 } // namespace orioletally::drivers::http
--- /dev/null
+++ b/drivers/http/http_session.cpp
@@ -0,0 +1,231 @@
+#include "drivers/http/http_session.h"
+
+#include "drivers/log/log.h"
+#include "drivers/loop/connection_end.h"
+#include "drivers/loop/message_framing.h"
+
+#include <exception>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <utility>
+
+namespace orioletally::drivers::http {
+
+using loop::AsTuple;
+
+namespace {
+
+/// Enough for the head of most requests; a larger one is read in turns.
+constexpr size_t FirstReadBytes = 1024;
+constexpr size_t MaxHeaderBytes = 16 << 10;
+
+std::chrono::nanoseconds chrono(absl::Duration time) {
+  return absl::ToChronoNanoseconds(time);
+}
+
+/// What is wrong with a request that can't be read; empty when its sender has
+/// just left.
+std::optional<HttpFault> faultOf(const boost::system::error_code &ec) {
+  if (ec == bhttp::error::body_limit)
+    return HttpFault::TooLarge;
+  if (ec.category() == bhttp::make_error_code(bhttp::error{}).category() &&
+      ec != bhttp::error::end_of_stream && ec != bhttp::error::partial_message)
+    return HttpFault::Malformed;
+  return std::nullopt;
+}
+
+void readTarget(std::string_view target, HttpRequest &request) {
+  const size_t mark = target.find('?');
+  request.Path = percentDecoded(target.substr(0, mark), false);
+  if (mark == std::string_view::npos)
+    return;
+  std::string_view rest = target.substr(mark + 1);
+  while (!rest.empty()) {
+    const std::string_view field = rest.substr(0, rest.find('&'));
+    rest.remove_prefix(std::min(rest.size(), field.size() + 1));
+    const size_t equals = std::min(field.find('='), field.size());
+    const std::string_view value =
+        field.substr(std::min(field.size(), equals + 1));
+    request.Query[percentDecoded(field.substr(0, equals), true)] =
+        percentDecoded(value, true);
+  }
+}
+
+HttpRequest requestFrom(bhttp::request<bhttp::string_body> message) {
+  HttpRequest request;
+  request.Method = message.method_string();
+  readTarget({message.target().data(), message.target().size()}, request);
+  for (const auto &it : message)
+    request.Headers.emplace(it.name_string(), it.value());
+  request.Body = std::move(message.body());
+  return request;
+}
+
+} // namespace
+
+HttpSession::HttpSession(std::shared_ptr<HttpServer::Part> server,
+                         asio::ip::tcp::socket socket, bool isLast)
+    : Server(std::move(server)), Stream(std::move(socket)), OneRequest(isLast) {
+  boost::system::error_code ignored;
+  Stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+}
+
+asio::awaitable<void> HttpSession::run() {
+  const auto self = shared_from_this();
+  while (co_await serveOne()) {
+  }
+  Stream.close();
+}
+
+void HttpSession::closeIfIdle() {
+  if (!Busy)
+    Stream.close();
+}
+
+asio::awaitable<bool> HttpSession::serveOne() {
+  if (Buffer.size() == 0 && !co_await awaitFirstByte()) {
+    co_return false;
+  }
+  Busy = true;
+  std::optional<Incoming> incoming = co_await readRequest();
+  if (!incoming.has_value()) {
+    co_return false;
+  }
+  if (Buffer.size() == 0)
+    Buffer.shrink_to_fit();
+  Stream.expires_never();
+  HttpReply reply(Stream, incoming->Version, Server->Wanted.WriteBound);
+  const auto watched = watchCaller(reply);
+  co_await handle(*incoming, reply);
+  *watched = nullptr;
+  if (!Stream.socket().is_open()) {
+    co_return false;
+  }
+  Stream.socket().cancel();
+  const bool isKept = co_await conclude(*incoming, reply);
+  Busy = false;
+  co_return isKept;
+}
+
+asio::awaitable<bool> HttpSession::awaitFirstByte() {
+  Stream.expires_after(chrono(Server->Wanted.IdleBound));
+  const auto [ec, n] =
+      co_await Stream.async_read_some(Buffer.prepare(FirstReadBytes), AsTuple);
+  Buffer.commit(n);
+  co_return !ec;
+}
+
+asio::awaitable<std::optional<HttpSession::Incoming>>
+HttpSession::readRequest() {
+  bhttp::request_parser<bhttp::string_body> parser;
+  parser.header_limit(MaxHeaderBytes);
+  parser.body_limit(Server->Wanted.MaxBodyBytes);
+  Stream.expires_never();
+  const loop::CancelAfter bound(Stream, chrono(Server->Wanted.RequestBound));
+  const auto [headError, headBytes] =
+      co_await bhttp::async_read_header(Stream, Buffer, parser, AsTuple);
+  if (headError) {
+    co_await reject(headError, bound.hasExpired());
+    co_return std::nullopt;
+  }
+  if (loop::isFramingAmbiguous(parser.get())) {
+    co_await reject(bhttp::error::bad_field, false);
+    co_return std::nullopt;
+  }
+  if (beast::iequals(parser.get()[bhttp::field::expect], "100-continue")) {
+    const bhttp::response<bhttp::empty_body> proceed(bhttp::status::continue_,
+                                                     11);
+    const auto [ec, n] = co_await bhttp::async_write(Stream, proceed, AsTuple);
+    if (ec) {
+      co_return std::nullopt;
+    }
+  }
+  if (!parser.is_done()) {
+    const auto [bodyError, bodyBytes] =
+        co_await bhttp::async_read(Stream, Buffer, parser, AsTuple);
+    if (bodyError) {
+      co_await reject(bodyError, bound.hasExpired());
+      co_return std::nullopt;
+    }
+  }
+  Incoming incoming;
+  incoming.Version = parser.get().version();
+  incoming.KeepAlive = parser.get().keep_alive();
+  incoming.Request = requestFrom(parser.release());
+  boost::system::error_code ec;
+  const auto remote = Stream.socket().remote_endpoint(ec);
+  if (!ec)
+    incoming.Request.RemoteAddress = remote.address().to_string();
+  co_return incoming;
+}
+
+std::shared_ptr<HttpReply *> HttpSession::watchCaller(HttpReply &reply) {
+  auto watched = std::make_shared<HttpReply *>(&reply);
+  Stream.socket().async_wait(
+      asio::ip::tcp::socket::wait_read,
+      [self = shared_from_this(), watched](boost::system::error_code ec) {
+        if (!ec && *watched != nullptr &&
+            loop::isPeerGone(self->Stream.socket()))
+          (*watched)->callerGone();
+      });
+  return watched;
+}
+
+asio::awaitable<void> HttpSession::handle(Incoming &incoming,
+                                          HttpReply &reply) {
+  const HttpHandler *handler = Server->Routes.find(incoming.Request);
+  if (handler == nullptr) {
+    reply.Answer =
+        Server->Routes.faultPage(HttpFault::NoRoute, incoming.Request.Path);
+    co_return;
+  }
+  try {
+    co_await (*handler)(incoming.Request, reply);
+  } catch (const std::exception &ec) {
+    log::write(log::Level::Error, "handler_failed",
+               {{"path", incoming.Request.Path}, {"reason", ec.what()}});
+    reply.Answer = Server->Routes.faultPage(HttpFault::HandlerFailed,
+                                            incoming.Request.Path);
+  }
+}
+
+asio::awaitable<bool> HttpSession::conclude(const Incoming &incoming,
+                                            HttpReply &reply) {
+  const bool isKept = incoming.KeepAlive && !isLast();
+  if (!reply.hasBegun()) {
+    co_return co_await sendWhole(std::move(reply.Answer), incoming.Version,
+                                 isKept);
+  }
+  // A stream that isn't finished must not look complete.
+  co_return reply.isFinished() && incoming.Version >= 11 && isKept;
+}
+
+asio::awaitable<bool> HttpSession::sendWhole(HttpResponse answer,
+                                             unsigned version, bool isKept) {
+  bhttp::response<bhttp::string_body> message(
+      static_cast<bhttp::status>(answer.Status), version);
+  for (const auto &[name, value] : answer.Headers)
+    message.insert(name, value);
+  message.body() = std::move(answer.Body);
+  message.keep_alive(isKept);
+  message.prepare_payload();
+  Stream.expires_after(chrono(Server->Wanted.WriteBound));
+  const auto [ec, n] = co_await bhttp::async_write(Stream, message, AsTuple);
+  if (!ec && !isKept) {
+    co_await loop::lingeringClose(Stream, Buffer, maxLinger());
+  }
+  co_return !ec && isKept;
+}
+
+asio::awaitable<void> HttpSession::reject(boost::system::error_code ec,
+                                          bool isLate) {
+  const std::optional<HttpFault> fault = isLate ? HttpFault::Late : faultOf(ec);
+  if (!fault.has_value()) {
+    co_return;
+  }
+  log::write(log::Level::Info, "request_rejected", {{"reason", ec.message()}});
+  HttpResponse page = Server->Routes.faultPage(*fault, "");
+  co_await sendWhole(std::move(page), 11, false);
+}
+
+} // namespace orioletally::drivers::http
--- /dev/null
+++ b/drivers/loop/connection_end.cpp
@@ -0,0 +1,57 @@
+#include "drivers/loop/connection_end.h"
+
+#include <cerrno>
+#include <sys/socket.h>
+
+namespace orioletally::drivers::loop {
+
+namespace {
+
+constexpr auto LingerBound = std::chrono::seconds(1);
+constexpr size_t ReadBytes = 16 << 10;
+
+} // namespace
+
+bool isPeerGone(asio::ip::tcp::socket &socket) {
+  char c = 0;
+  const ssize_t n =
+      ::recv(socket.native_handle(), &c, 1, MSG_PEEK | MSG_DONTWAIT);
+  return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+asio::awaitable<void> lingeringClose(beast::tcp_stream &stream,
+                                     beast::flat_buffer &buffer,
+                                     size_t maxBytes) {
+  boost::system::error_code ignored;
+  stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  stream.expires_after(LingerBound);
+  for (size_t total = 0; total < maxBytes;) {
+    buffer.clear();
+    const auto [ec, n] =
+        co_await stream.async_read_some(buffer.prepare(ReadBytes), AsTuple);
+    if (ec) {
+      break;
+    }
+    total += n;
+  }
+  stream.close();
+}
+
+CancelAfter::CancelAfter(beast::tcp_stream &stream,
+                         std::chrono::nanoseconds bound)
+    : Shared(std::make_shared<Part>()), Timer(stream.get_executor(), bound) {
+  Shared->Stream = &stream;
+  Timer.async_wait([part = Shared](boost::system::error_code ec) {
+    if (ec || part->Stream == nullptr)
+      return;
+    part->Expired = true;
+    part->Stream->cancel();
+  });
+}
+
+CancelAfter::~CancelAfter() {
+  Shared->Stream = nullptr;
+  Timer.cancel();
+}
+
+} // namespace orioletally::drivers::loop
--- /dev/null
+++ b/drivers/loop/listener.h
@@ -0,0 +1,48 @@
+#ifndef ORIOLETALLY_DRIVERS_LOOP_LISTENER_H
+#define ORIOLETALLY_DRIVERS_LOOP_LISTENER_H
+
+#include "drivers/loop/asio_use.h"
+
+#include <boost/leaf.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace orioletally::drivers::loop {
+
+/// An address that can't be listened on.
+struct ListenError {
+  std::string Address;
+  std::string Reason;
+};
+
+/// Accepts connections on one address, on the event loop.
+class Listener : public std::enable_shared_from_this<Listener> {
+public:
+  using ConnectionHandler = std::function<void(asio::ip::tcp::socket socket)>;
+
+  /// Binds \p address ("ip:port"; port 0 takes a free one). The port is this
+  /// process's alone.
+  static boost::leaf::result<std::shared_ptr<Listener>>
+  open(asio::io_context &loop, const std::string &address);
+
+  /// Hands each connection to \p take until close().
+  void start(ConnectionHandler take);
+
+  /// Takes no further connections.
+  void close();
+
+  int port() const;
+
+  explicit Listener(asio::io_context &loop) : Acceptor(loop) {}
+
+private:
+  asio::awaitable<void> accept(std::shared_ptr<Listener> self,
+                               ConnectionHandler take);
+
+  asio::ip::tcp::acceptor Acceptor;
+};
+
+} // namespace orioletally::drivers::loop
+
+#endif
--- a/drivers/platform/http_table_service.cpp
+++ b/drivers/platform/http_table_service.cpp
@@ -54,10 +54,6 @@
   return {{"conditions", conditions}, {"writes", writes}};
 }
 
-std::string encoded(std::string_view text) {
-  return httplib::detail::encode_query_param(std::string(text));
-}
-
 } // namespace
 
 std::string_view tableCauseName(TableCause cause) {
@@ -101,7 +97,8 @@
 
 leaf::result<std::optional<TableRow>>
 HttpTableService::read(std::string_view key) {
-  BOOST_LEAF_AUTO(body, get(fmt::format("/v1/row?key={}", encoded(key)), key));
+  BOOST_LEAF_AUTO(
+      body, get(fmt::format("/v1/row?key={}", http::percentEncoded(key)), key));
   const json object = json::parse(body, nullptr, false);
   if (!object.is_object() || !object.contains("row"))
     return unavailable("read: the answer can't be read");
@@ -112,7 +109,8 @@
 HttpTableService::scan(std::string_view prefix, std::string_view after,
                        int limit) {
   BOOST_LEAF_AUTO(body, get(fmt::format("/v1/rows?prefix={}&after={}&limit={}",
-                                        encoded(prefix), encoded(after), limit),
+                                        http::percentEncoded(prefix),
+                                        http::percentEncoded(after), limit),
                             prefix));
   const json object = json::parse(body, nullptr, false);
   if (!object.is_object() || !object.contains("rows"))
--- a/drivers/relay/caller_session.cpp
+++ b/drivers/relay/caller_session.cpp
@@ -2,9 +2,10 @@
 
 #include "drivers/clock/clock.h"
 #include "drivers/log/log.h"
+#include "drivers/loop/connection_end.h"
+#include "drivers/loop/message_framing.h"
 #include "drivers/relay/message_parts.h"
 
-#include <cerrno>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <utility>
@@ -18,10 +19,10 @@
 constexpr size_t ReadBytes = 16 << 10;
 /// Bound on the arrival of a body, whose size is limited already.
 constexpr absl::Duration BodyBound = absl::Seconds(10);
-/// What a caller that is turned away may still send before a close resets the
-/// connection and takes our answer with it.
+/// What a caller that is turned away may still send.
 constexpr size_t LingerBytes = 256 << 10;
-constexpr absl::Duration LingerBound = absl::Seconds(1);
+/// Bound on the sending of an answer to a request that is turned away.
+constexpr absl::Duration RejectBound = absl::Seconds(1);
 
 std::chrono::nanoseconds chrono(absl::Duration time) {
   return absl::ToChronoNanoseconds(time);
@@ -42,16 +43,9 @@
 /// Whether the request's framing or target is one that two readers could
 /// understand in two ways.
 bool isAmbiguous(const CallRequest &request) {
-  const auto encoding = request[bhttp::field::transfer_encoding];
-  if (!encoding.empty() && !beast::iequals(encoding, "chunked"))
-    return true;
-  if (request.count(bhttp::field::host) != 1 ||
-      request.count(bhttp::field::content_length) > 1 ||
-      request.count(bhttp::field::transfer_encoding) > 1)
-    return true;
-  if (!encoding.empty() && request.count(bhttp::field::content_length) > 0)
-    return true;
-  return request.target().empty() || request.target().front() != '/';
+  return loop::isFramingAmbiguous(request) ||
+         request.count(bhttp::field::host) != 1 || request.target().empty() ||
+         request.target().front() != '/';
 }
 
 } // namespace
@@ -90,7 +84,7 @@
     co_return false;
   Stream.socket().cancel();
   if (!isKept)
-    co_await lingeringClose();
+    co_await loop::lingeringClose(Stream, Buffer, LingerBytes);
   co_return isKept;
 }
 
@@ -146,24 +140,9 @@
   response.set(bhttp::field::connection, "close");
   response.body() = ec.message();
   response.prepare_payload();
-  Stream.expires_after(chrono(LingerBound));
+  Stream.expires_after(chrono(RejectBound));
   co_await bhttp::async_write(Stream, response, AsTuple);
-  co_await lingeringClose();
-}
-
-asio::awaitable<void> CallerSession::lingeringClose() {
-  boost::system::error_code ignored;
-  Stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-  Stream.expires_after(chrono(LingerBound));
-  for (size_t total = 0; total < LingerBytes;) {
-    Buffer.clear();
-    const auto [ec, n] =
-        co_await Stream.async_read_some(Buffer.prepare(ReadBytes), AsTuple);
-    if (ec)
-      break;
-    total += n;
-  }
-  Stream.close();
+  co_await loop::lingeringClose(Stream, Buffer, LingerBytes);
 }
 
 void CallerSession::watchCaller(const std::shared_ptr<CallRunner> &runner) {
@@ -174,12 +153,7 @@
         const std::shared_ptr<CallRunner> running = weak.lock();
         if (ec || running == nullptr)
           return;
-        char c = 0;
-        const ssize_t n = ::recv(self->Stream.socket().native_handle(), &c, 1,
-                                 MSG_PEEK | MSG_DONTWAIT);
-        const bool isOpen =
-            n > 0 || (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
-        if (!isOpen)
+        if (loop::isPeerGone(self->Stream.socket()))
           running->abort(core::relay::AttemptEnd::CallerGone);
       });
 }
--- a/drivers/relay/caller_session.h
+++ b/drivers/relay/caller_session.h
@@ -23,7 +23,6 @@
   asio::awaitable<std::optional<CallRequest>>
   readRequest(const core::routes::CallerLimits &limits);
   asio::awaitable<void> reject(boost::system::error_code ec);
-  asio::awaitable<void> lingeringClose();
   void watchCaller(const std::shared_ptr<CallRunner> &runner);
 
   RelayContext &Context;
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -1,10 +1,11 @@
 #include "main/entry_node.h"
 
 #include "drivers/clock/clock.h"
+#include "drivers/http/http_server.h"
 #include "drivers/log/log.h"
+#include "drivers/loop/endpoint.h"
 #include "drivers/loop/event_loop.h"
 #include "drivers/relay/fleet_view.h"
-#include "drivers/relay/message_parts.h"
 #include "drivers/relay/peer_link.h"
 #include "drivers/relay/relay_server.h"
 #include "platform/header_codec.h"
@@ -34,6 +35,10 @@
 /// Part of the bound on repeats that is used: nodes that start or go count
 /// each other wrongly for a while.
 constexpr double RetryPart = 0.7;
+/// Connections to a status page at once: the balancer, a collector, people.
+constexpr size_t StatusConnections = 32;
+constexpr int StatusOk = 200;
+constexpr int StatusUnavailable = 503;
 
 absl::Duration milliseconds(const FieldValues &settings, std::string_view key) {
   return absl::Milliseconds(settings.integer(key));
@@ -58,6 +63,28 @@
   return result;
 }
 
+drivers::http::HttpServerSettings statusSettings(const std::string &address) {
+  drivers::http::HttpServerSettings result;
+  result.Address = address;
+  if (const auto endpoint = drivers::loop::parseEndpoint(address)) {
+    result.Address = endpoint->address().to_string();
+    result.Port = endpoint->port();
+  }
+  result.MaxConnections = StatusConnections;
+  return result;
+}
+
+drivers::http::HttpServerSettings readySettings(const FieldValues &settings) {
+  return statusSettings(settings.text("ready.address"));
+}
+
+/// The metrics are on the address for callers, on a port of their own.
+drivers::http::HttpServerSettings metricsSettings(const FieldValues &settings) {
+  const std::string &calls = settings.text("calls.address");
+  return statusSettings(fmt::format("{}:{}", calls.substr(0, calls.rfind(':')),
+                                    settings.integer("metrics.port")));
+}
+
 platform::StoreSourceSettings
 storeSettings(const FieldValues &settings,
               const core::platform::NodeEntry &self) {
@@ -79,6 +106,8 @@
         Self(selfEntry(values, incarnation)),
         Source(Loop, storeSettings(values, Self)),
         Peers(Loop, Self, peerHandlers()), Server(Context),
+        ReadyServer(Loop, readySettings(values)),
+        MetricsServer(Loop, metricsSettings(values)),
         Signals(Loop, SIGTERM, SIGINT), Reload(Loop, SIGHUP) {
     Calls.setNews(
         [this](const core::relay::PromptNews &it) { Peers.tell(it); });
@@ -122,20 +151,29 @@
     return handlers;
   }
 
-  bhttp::response<bhttp::string_body> ready() const {
+  void showReadiness(drivers::http::HttpResponse &response) const {
     const bool isReady = Calls.isInformed() && !Context.isDraining();
-    bhttp::response<bhttp::string_body> response(
-        isReady ? bhttp::status::ok : bhttp::status::service_unavailable, 11);
-    response.body() = isReady ? "ready\n" : "not ready\n";
-    return response;
+    response.Status = isReady ? StatusOk : StatusUnavailable;
+    response.setContent(isReady ? "ready\n" : "not ready\n", "text/plain");
   }
 
-  bhttp::response<bhttp::string_body> figures() {
+  void showFigures(drivers::http::HttpResponse &response) {
     Metrics.setLogLinesDropped(drivers::log::droppedLines());
-    bhttp::response<bhttp::string_body> response(bhttp::status::ok, 11);
-    response.set(bhttp::field::content_type, "text/plain; version=0.0.4");
-    response.body() = Metrics.text();
-    return response;
+    response.setContent(Metrics.text(), "text/plain; version=0.0.4");
+  }
+
+  /// Listens for status pages besides the callers.
+  leaf::result<void> startStatus() {
+    ReadyServer.routes().addPlain(
+        "GET", std::string(platform::wire::ReadyPath),
+        [this](const auto &, auto &response) { showReadiness(response); });
+    BOOST_LEAF_CHECK(ReadyServer.start());
+    if (Settings.integer("metrics.port") <= 0)
+      return {};
+    MetricsServer.routes().addPlain(
+        "GET", "/metrics",
+        [this](const auto &, auto &response) { showFigures(response); });
+    return MetricsServer.start();
   }
 
   asio::awaitable<void> upkeep() {
@@ -195,6 +233,8 @@
   platform::StoreFleetSource Source;
   drivers::relay::PeerLink Peers;
   drivers::relay::RelayServer Server;
+  drivers::http::HttpServer ReadyServer;
+  drivers::http::HttpServer MetricsServer;
   asio::signal_set Signals;
   asio::signal_set Reload;
   bool IsWhole = true;
@@ -210,15 +250,7 @@
   const auto sessions = static_cast<size_t>(
       (All->Settings.integer("node.max_files") - ReservedFiles) / 2);
   BOOST_LEAF_CHECK(All->Server.listenForCalls(calls, sessions));
-  BOOST_LEAF_CHECK(
-      All->Server.listenForStatus(All->Settings.text("ready.address"),
-                                  {{std::string(platform::wire::ReadyPath),
-                                    [this] { return All->ready(); }}}));
-  if (All->Settings.integer("metrics.port") > 0)
-    BOOST_LEAF_CHECK(All->Server.listenForStatus(
-        fmt::format("{}:{}", calls.substr(0, calls.rfind(':')),
-                    All->Settings.integer("metrics.port")),
-        {{"/metrics", [this] { return All->figures(); }}}));
+  BOOST_LEAF_CHECK(All->startStatus());
   BOOST_LEAF_CHECK(All->Peers.start());
   All->Source.start(All->View);
   asio::co_spawn(All->Loop, All->upkeep(), asio::detached);
--- a/main/main.cpp
+++ b/main/main.cpp
@@ -3,10 +3,9 @@
 #include "core/profiles/profile.h"
 #include "drivers/clock/clock.h"
 #include "drivers/gateway/caller_tokens.h"
-#include "drivers/http/http_server.h"
 #include "drivers/log/log.h"
+#include "drivers/loop/listener.h"
 #include "drivers/peer/peer_transport.h"
-#include "drivers/relay/relay_server.h"
 #include "main/entry_node.h"
 #include "main/entry_settings.h"
 #include "main/exit_code.h"
@@ -85,11 +84,7 @@
       [](const drivers::gateway::TokensError &ec) {
         return failed("tokens: " + ec.Reason);
       },
-      [](const drivers::http::ListenError &ec) {
-        return failed(
-            fmt::format("can't listen on {}: {}", ec.Address, ec.Reason));
-      },
-      [](const drivers::relay::RelayListenError &ec) {
+      [](const drivers::loop::ListenError &ec) {
         return failed(
             fmt::format("can't listen on {}: {}", ec.Address, ec.Reason));
       },
--- a/main/node.cpp
+++ b/main/node.cpp
@@ -12,7 +12,9 @@
 #include "drivers/gateway/http_reply.h"
 #include "drivers/gateway/operator_api.h"
 #include "drivers/gateway/status_api.h"
+#include "drivers/http/http_server.h"
 #include "drivers/log/log.h"
+#include "drivers/loop/loop_runner.h"
 #include "drivers/platform/http_table_service.h"
 #include "drivers/platform/http_vm_list.h"
 #include "main/settings.h"
@@ -22,6 +24,7 @@
 #include <cstdlib>
 #include <fmt/format.h>
 #include <random>
+#include <thread>
 #include <utility>
 
 namespace leaf = boost::leaf;
@@ -36,6 +39,14 @@
 
 constexpr size_t JournalCapacity = 4096;
 constexpr size_t BackgroundThreads = 8;
+/// Calls to services that wait at once; further ones take their turn.
+constexpr size_t ServiceThreadCount = 64;
+/// Operators' calls that wait at once; kept apart so that services can't hold
+/// them up.
+constexpr size_t OperatorThreadCount = 4;
+/// Time for the last answers to be sent before connections are cut.
+constexpr absl::Duration CloseBound = absl::Seconds(5);
+constexpr auto CloseStep = std::chrono::milliseconds(5);
 constexpr size_t BackgroundCapacity = 4096;
 constexpr absl::Duration FreshBound = absl::Seconds(1);
 constexpr absl::Duration DrainStep = absl::Milliseconds(100);
@@ -153,7 +164,8 @@
               milliseconds(Settings, "platform.timeout_ms")),
         VmList(Settings.text("platform.address"),
                milliseconds(Settings, "platform.timeout_ms")),
-        Freshness(FreshBound), Router(routerSettings(Settings), Freshness),
+        Engines(Loop.loop()), Freshness(FreshBound),
+        Router(routerSettings(Settings), Freshness),
         Gate(Settings.integer("http.max_streams")), Journal(JournalCapacity),
         Sync(Table, Profiles, Metrics),
         Peers(selfFrom(Settings, incarnation), detectorSettings(Settings),
@@ -164,7 +176,8 @@
         Background(BackgroundThreads, BackgroundCapacity),
         Watch(Engines, Router, Peers, Background, Metrics,
               milliseconds(Settings, "routing.watch_ms")),
-        Runner{Engines, Router, RequestChart, Background, Gate, Metrics, Owner},
+        Runner{Loop.loop(), Engines, Router,  RequestChart,
+               Background,  Gate,    Metrics, Owner},
         Service{Services,
                 Table,
                 Router,
@@ -192,7 +205,9 @@
                       milliseconds(Settings, "profiles.accept_wait_ms"),
                       [this] { return isReady(); }},
         Callers(CallerParts), Operators(OperatorParts), Status(OperatorParts),
-        Server(serverSettings(Settings)) {
+        ServiceThreads(ServiceThreadCount),
+        OperatorThreads(OperatorThreadCount),
+        Server(Loop.loop(), serverSettings(Settings)) {
     Sync.setPeers(&Peers);
     Router.setDispatchHandler([this](const core::membership::Dispatch &it) {
       Peers.shareDispatch(it);
@@ -235,10 +250,24 @@
     return handlers;
   }
 
+  /// Ends all that runs on the loop while its parts are there.
+  void closeServer() {
+    Loop.run([this] { Server.close(); });
+    const absl::Time until = drivers::clock::steadyNow() + CloseBound;
+    size_t open = 1;
+    while (open > 0 && drivers::clock::steadyNow() < until) {
+      std::this_thread::sleep_for(CloseStep);
+      Loop.run([&] { open = Server.connections(); });
+    }
+    ServiceThreads.join();
+    OperatorThreads.join();
+  }
+
   FieldValues Settings;
   CallerTokens Tokens;
   StateChart RequestChart;
   std::string Owner;
+  drivers::loop::LoopRunner Loop;
   drivers::metrics::NodeMetrics Metrics;
   drivers::platform::HttpTableService Table;
   drivers::platform::HttpVmList VmList;
@@ -262,29 +291,30 @@
   drivers::gateway::CallerApi Callers;
   drivers::gateway::OperatorApi Operators;
   drivers::gateway::StatusApi Status;
+  drivers::loop::WorkerThreads ServiceThreads;
+  drivers::loop::WorkerThreads OperatorThreads;
   drivers::http::HttpServer Server;
 };
 
 Node::Node(std::unique_ptr<Parts> built) : All(std::move(built)) {}
 
 Node::~Node() {
-  All->Server.stop();
+  All->closeServer();
   All->Watch.stop();
   All->Poller.stop();
   All->Peers.stop();
+  All->Loop.end();
 }
 
 leaf::result<void> Node::start() {
   BOOST_LEAF_CHECK(All->Peers.start());
   for (const std::string &it : All->Settings.list("peer.seeds"))
     All->Peers.addSeed(it);
-  All->Callers.registerRoutes(All->Server);
-  All->Operators.registerRoutes(All->Server);
-  All->Status.registerRoutes(All->Server);
-  All->Server.set_error_handler(
-      [](const httplib::Request &request, httplib::Response &response) {
-        drivers::gateway::replyLibraryError(request, response);
-      });
+  drivers::http::HttpRoutes &routes = All->Server.routes();
+  All->Callers.registerRoutes(routes, All->ServiceThreads);
+  All->Operators.registerRoutes(routes, All->OperatorThreads);
+  All->Status.registerRoutes(routes);
+  routes.setFaultPage(drivers::gateway::faultAnswer);
   BOOST_LEAF_CHECK(All->Server.start());
   All->Peers.announceHttpAddress(httpAddress());
   All->Poller.start();
--- a/main/operator_client.h
+++ b/main/operator_client.h
@@ -1,9 +1,10 @@
 #ifndef ORIOLETALLY_MAIN_OPERATOR_CLIENT_H
 #define ORIOLETALLY_MAIN_OPERATOR_CLIENT_H
 
+#include "drivers/http/http_message.h"
+
 #include <absl/time/time.h>
 #include <boost/leaf.hpp>
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 #include <string>
 
@@ -29,7 +30,7 @@
   std::string Method = "GET";
   std::string Path;
   std::string Body;
-  httplib::Headers Headers;
+  drivers::http::HeaderMap Headers;
 };
 
 /// Calls the operators' HTTP interface of one entry node.
--- a/tests/contract/test_contracts.cpp
+++ b/tests/contract/test_contracts.cpp
@@ -1,5 +1,6 @@
 #include "drivers/backend/http_engine_client.h"
 #include "drivers/backend/http_service_client.h"
+#include "drivers/loop/loop_runner.h"
 #include "drivers/platform/http_table_service.h"
 #include "drivers/platform/http_vm_list.h"
 #include "tests/support/fake_table.h"
@@ -161,7 +162,8 @@
 
 TEST_GROUP(EngineContract) {
   lab::EngineServer engine{0, {}};
-  drivers::backend::HttpEngineClient client;
+  drivers::loop::LoopRunner runner;
+  drivers::backend::HttpEngineClient client{runner.loop()};
   std::shared_ptr<Recorder> recorder = std::make_shared<Recorder>();
   std::string address;
 
--- a/tests/drivers/test_http_server.cpp
+++ b/tests/drivers/test_http_server.cpp
@@ -1,15 +1,22 @@
-#include "drivers/backend/http_engine_client.h"
 #include "drivers/http/http_exchange.h"
 #include "drivers/http/http_server.h"
-#include "drivers/http/socket_stream.h"
+#include "drivers/loop/loop_runner.h"
 
-#include <CppUTest/TestHarness.h>
+#include <arpa/inet.h>
 #include <atomic>
+#include <httplib.h>
+#include <netinet/in.h>
 #include <sys/resource.h>
+#include <sys/socket.h>
 #include <thread>
+#include <unistd.h>
 #include <vector>
 
+#include <CppUTest/TestHarness.h>
+
+using namespace orioletally;
 using namespace orioletally::drivers::http;
+using drivers::loop::LoopRunner;
 
 namespace {
 
@@ -29,6 +36,47 @@
   return request;
 }
 
+/// A server on a loop of its own, which ends first.
+struct RunningServer {
+  explicit RunningServer(const HttpServerSettings &settings)
+      : Server(Runner.loop(), settings) {}
+  ~RunningServer() { Runner.end(); }
+
+  bool start() { return static_cast<bool>(Server.start()); }
+
+  LoopRunner Runner;
+  HttpServer Server;
+};
+
+HttpHandler answerAfter(std::chrono::milliseconds pause, std::string body) {
+  return
+      [pause, body](HttpRequest &, HttpReply &reply) -> asio::awaitable<void> {
+        asio::steady_timer timer(co_await asio::this_coro::executor, pause);
+        co_await timer.async_wait(drivers::loop::AsTuple);
+        reply.Answer.setContent(body, "text/plain");
+      };
+}
+
+/// Sends \p text over a plain connection; returns what comes back until the
+/// other side closes or says nothing for two seconds.
+std::string rawCall(int port, const std::string &text) {
+  sockaddr_in target{};
+  target.sin_family = AF_INET;
+  target.sin_port = htons(static_cast<uint16_t>(port));
+  inet_pton(AF_INET, "127.0.0.1", &target.sin_addr);
+  const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+  const timeval bound{2, 0};
+  ::setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &bound, sizeof(bound));
+  ::connect(fd, reinterpret_cast<sockaddr *>(&target), sizeof(target));
+  ::send(fd, text.data(), text.size(), MSG_NOSIGNAL);
+  std::string answer;
+  char buf[4096];
+  for (ssize_t n = 0; (n = ::recv(fd, buf, sizeof(buf), 0)) > 0;)
+    answer.append(buf, static_cast<size_t>(n));
+  ::close(fd);
+  return answer;
+}
+
 } // namespace
 
 TEST_GROUP(HttpServer){void setup() override{rlimit limit{};
@@ -40,20 +88,18 @@
 ;
 
 TEST(HttpServer, TakesABurstOfAThousandConnections) {
-  HttpServer server(settingsOf(0, 1200));
-  server.Get("/", [](const auto &, auto &response) {
-    std::this_thread::sleep_for(std::chrono::milliseconds(200));
-    response.set_content("ok", "text/plain");
-  });
-  CHECK(static_cast<bool>(server.start()));
+  RunningServer running(settingsOf(0, 1200));
+  running.Server.routes().add(
+      "GET", "/", answerAfter(std::chrono::milliseconds(200), "ok"));
+  CHECK(running.start());
   constexpr int Burst = 1000;
   std::atomic<int> good = 0;
   std::vector<std::thread> threads;
   for (int n = 0; n < Burst; ++n)
     threads.emplace_back([&] {
       std::string body;
-      const ExchangeEnd end =
-          exchangeWithin(getFrom(server.port(), "/"), absl::Seconds(20), body);
+      const ExchangeEnd end = exchangeWithin(
+          getFrom(running.Server.port(), "/"), absl::Seconds(20), body);
       good += end.Whole && body == "ok" ? 1 : 0;
     });
   for (std::thread &it : threads)
@@ -62,15 +108,15 @@
 }
 
 TEST(HttpServer, PortInUseIsAnError) {
-  HttpServer first(settingsOf(0, 10));
-  CHECK(static_cast<bool>(first.start()));
-  HttpServer second(settingsOf(first.port(), 10));
+  RunningServer first(settingsOf(0, 10));
+  CHECK(first.start());
+  RunningServer second(settingsOf(first.Server.port(), 10));
   const std::string reason = boost::leaf::try_handle_all(
       [&]() -> boost::leaf::result<std::string> {
-        BOOST_LEAF_CHECK(second.start());
+        BOOST_LEAF_CHECK(second.Server.start());
         return std::string("none");
       },
-      [](const ListenError &ec) { return ec.Reason; },
+      [](const drivers::loop::ListenError &ec) { return ec.Reason; },
       [] { return std::string("?"); });
   STRCMP_EQUAL("Address already in use", reason.c_str());
 }
@@ -78,9 +124,9 @@
 TEST(HttpServer, ExchangeThatNeverConnectedWroteNothing) {
   int port = 0;
   {
-    HttpServer gone(settingsOf(0, 10));
-    CHECK(static_cast<bool>(gone.start()));
-    port = gone.port();
+    RunningServer gone(settingsOf(0, 10));
+    CHECK(gone.start());
+    port = gone.Server.port();
   }
   std::string body;
   const ExchangeEnd end =
@@ -90,15 +136,13 @@
 }
 
 TEST(HttpServer, ExchangeEndsWithinItsBoundWhenNothingComes) {
-  HttpServer server(settingsOf(0, 10));
-  server.Get("/", [](const auto &, auto &response) {
-    std::this_thread::sleep_for(std::chrono::seconds(1));
-    response.set_content("late", "text/plain");
-  });
-  CHECK(static_cast<bool>(server.start()));
+  RunningServer running(settingsOf(0, 10));
+  running.Server.routes().add("GET", "/",
+                              answerAfter(std::chrono::seconds(1), "late"));
+  CHECK(running.start());
   const auto started = std::chrono::steady_clock::now();
   std::string body;
-  const ExchangeEnd end = exchangeWithin(getFrom(server.port(), "/"),
+  const ExchangeEnd end = exchangeWithin(getFrom(running.Server.port(), "/"),
                                          absl::Milliseconds(200), body);
   CHECK_FALSE(end.Whole);
   CHECK(end.Written);
@@ -107,17 +151,128 @@
 }
 
 TEST(HttpServer, SecondConnectionBeyondTheLimitIsServedOnce) {
-  HttpServer server(settingsOf(0, 1));
-  server.Get("/", [](const auto &, auto &response) {
-    response.set_content("ok", "text/plain");
-  });
-  CHECK(static_cast<bool>(server.start()));
-  httplib::Client first("127.0.0.1", server.port());
+  RunningServer running(settingsOf(0, 1));
+  running.Server.routes().addPlain("GET", "/",
+                                   [](const auto &, auto &response) {
+                                     response.setContent("ok", "text/plain");
+                                   });
+  CHECK(running.start());
+  httplib::Client first("127.0.0.1", running.Server.port());
   first.set_keep_alive(true);
   LONGS_EQUAL(200, first.Get("/")->status);
   std::string body;
-  const ExchangeEnd end =
-      exchangeWithin(getFrom(server.port(), "/"), absl::Seconds(2), body);
+  const ExchangeEnd end = exchangeWithin(getFrom(running.Server.port(), "/"),
+                                         absl::Seconds(2), body);
   CHECK(end.Whole);
+  STRCMP_EQUAL("close", headerOf(end.Headers, "Connection").c_str());
   first.stop();
 }
+
+TEST(HttpServer, RequestsWithAnAmbiguousEndOrABrokenHeadAreTurnedAway) {
+  RunningServer running(settingsOf(0, 10));
+  std::atomic<int> handled = 0;
+  running.Server.routes().addPlain("POST", "/.*",
+                                   [&](const auto &, auto &) { ++handled; });
+  CHECK(running.start());
+  const std::string head = "POST / HTTP/1.1\r\nHost: x\r\n";
+  const std::string cases[] = {
+      head + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+      head + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      head + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+      head + "Content-Length: -1\r\n\r\n",
+      head + "Content-Length : 1\r\n\r\na",
+      "POST / HTTP/1.1\nHost: x\n\n",
+      "PO ST / HTTP/1.1\r\nHost: x\r\n\r\n",
+      "POST / HTTP/9.9\r\nHost: x\r\n\r\n",
+      head + "X: " + std::string(20000, 'x') + "\r\n\r\n",
+  };
+  for (const std::string &it : cases) {
+    const std::string answer = rawCall(running.Server.port(), it);
+    CHECK_TEXT(answer.starts_with("HTTP/1.1 400 "), it.substr(0, 80).c_str());
+  }
+  LONGS_EQUAL(0, handled.load());
+}
+
+TEST(HttpServer, BodyBeyondTheLimitIsRefusedBeforeItIsRead) {
+  HttpServerSettings settings = settingsOf(0, 10);
+  settings.MaxBodyBytes = 100;
+  RunningServer running(settings);
+  CHECK(running.start());
+  const std::string answer =
+      rawCall(running.Server.port(),
+              "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 101\r\n\r\n");
+  CHECK(answer.starts_with("HTTP/1.1 413 "));
+}
+
+TEST(HttpServer, StreamThatItsHandlerLeavesIsCutAndNeverLooksComplete) {
+  RunningServer running(settingsOf(0, 10));
+  running.Server.routes().add(
+      "GET", "/", [](HttpRequest &, HttpReply &reply) -> asio::awaitable<void> {
+        co_await reply.write("half");
+      });
+  CHECK(running.start());
+  std::string body;
+  const ExchangeEnd end = exchangeWithin(getFrom(running.Server.port(), "/"),
+                                         absl::Seconds(2), body);
+  STRCMP_EQUAL("half", body.c_str());
+  CHECK_FALSE(end.Whole);
+}
+
+TEST(HttpServer, HandlerLearnsAtOnceThatItsCallerIsGone) {
+  RunningServer running(settingsOf(0, 10));
+  std::atomic<bool> isGone = false;
+  running.Server.routes().add(
+      "GET", "/",
+      [&](HttpRequest &, HttpReply &reply) -> asio::awaitable<void> {
+        asio::steady_timer timer(co_await asio::this_coro::executor,
+                                 std::chrono::seconds(5));
+        reply.onCallerGone([&] {
+          isGone = true;
+          timer.cancel();
+        });
+        co_await timer.async_wait(drivers::loop::AsTuple);
+      });
+  CHECK(running.start());
+  const auto started = std::chrono::steady_clock::now();
+  std::string body;
+  exchangeWithin(getFrom(running.Server.port(), "/"), absl::Milliseconds(50),
+                 body);
+  while (!isGone &&
+         std::chrono::steady_clock::now() - started < std::chrono::seconds(4))
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  CHECK(isGone);
+  CHECK(std::chrono::steady_clock::now() - started < std::chrono::seconds(1));
+}
+
+TEST(HttpServer, SlowReaderIsDroppedAfterTheWriteBound) {
+  HttpServerSettings settings = settingsOf(0, 10);
+  settings.WriteBound = absl::Milliseconds(200);
+  RunningServer running(settings);
+  std::atomic<bool> isDropped = false;
+  running.Server.routes().add(
+      "GET", "/",
+      [&](HttpRequest &, HttpReply &reply) -> asio::awaitable<void> {
+        const std::string piece(1 << 20, 'x');
+        for (int n = 0; n < 64; ++n) {
+          const bool isWritten = co_await reply.write(piece);
+          if (!isWritten) {
+            isDropped = true;
+            co_return;
+          }
+        }
+      });
+  CHECK(running.start());
+  sockaddr_in target{};
+  target.sin_family = AF_INET;
+  target.sin_port = htons(static_cast<uint16_t>(running.Server.port()));
+  inet_pton(AF_INET, "127.0.0.1", &target.sin_addr);
+  const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+  ::connect(fd, reinterpret_cast<sockaddr *>(&target), sizeof(target));
+  const std::string request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+  ::send(fd, request.data(), request.size(), MSG_NOSIGNAL);
+  const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+  while (!isDropped && std::chrono::steady_clock::now() < until)
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  ::close(fd);
+  CHECK(isDropped);
+}
--- a/tests/lab/engine_server.cpp
+++ b/tests/lab/engine_server.cpp
@@ -2,8 +2,8 @@
 
 #include "drivers/backend/engine_codec.h"
 #include "drivers/clock/clock.h"
-#include "drivers/http/socket_stream.h"
 #include "tests/lab/lab_http.h"
+#include "tests/lab/socket_stream.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -235,7 +235,7 @@
   }
   while (feed.Epoch != SilenceEpoch && !Stopping) {
     std::this_thread::sleep_for(SilentPause);
-    if (drivers::http::currentConnection()->isPeerGone())
+    if (currentConnection()->isPeerGone())
       return false;
   }
   if (!text.empty() && !sink.write(text.data(), text.size()))
--- a/tests/lab/engine_server.h
+++ b/tests/lab/engine_server.h
@@ -1,8 +1,8 @@
 #ifndef ORIOLETALLY_TESTS_LAB_ENGINE_SERVER_H
 #define ORIOLETALLY_TESTS_LAB_ENGINE_SERVER_H
 
-#include "drivers/http/http_server.h"
 #include "tests/lab/engine_model.h"
+#include "tests/lab/threaded_server.h"
 
 #include <atomic>
 #include <boost/leaf.hpp>
@@ -74,7 +74,7 @@
   std::atomic<uint64_t> Submits = 0;
   std::atomic<bool> Stopping = false;
   std::thread Worker;
-  drivers::http::HttpServer Server;
+  ThreadedServer Server;
 };
 
 } // namespace orioletally::lab
--- a/tests/lab/lab_http.cpp
+++ b/tests/lab/lab_http.cpp
@@ -1,6 +1,6 @@
 #include "tests/lab/lab_http.h"
 
-#include "drivers/http/socket_stream.h"
+#include "tests/lab/socket_stream.h"
 
 #include <sys/socket.h>
 
@@ -18,12 +18,12 @@
 }
 
 void cutConnection() {
-  if (auto *connection = drivers::http::currentConnection())
+  if (auto *connection = currentConnection())
     ::shutdown(connection->socket(), SHUT_RDWR);
 }
 
-drivers::http::HttpServerSettings labServer(int port) {
-  drivers::http::HttpServerSettings settings;
+ThreadedServerSettings labServer(int port) {
+  ThreadedServerSettings settings;
   settings.Port = port;
   settings.MaxConnections = MaxConnections;
   settings.MaxBodyBytes = MaxBody;
--- a/tests/lab/lab_http.h
+++ b/tests/lab/lab_http.h
@@ -1,7 +1,7 @@
 #ifndef ORIOLETALLY_TESTS_LAB_LAB_HTTP_H
 #define ORIOLETALLY_TESTS_LAB_LAB_HTTP_H
 
-#include "drivers/http/http_server.h"
+#include "tests/lab/threaded_server.h"
 
 #include <httplib.h>
 #include <nlohmann/json.hpp>
@@ -17,7 +17,7 @@
 void cutConnection();
 
 /// Settings of a stand-in's server on \p port of the loopback address.
-drivers::http::HttpServerSettings labServer(int port);
+ThreadedServerSettings labServer(int port);
 
 } // namespace orioletally::lab
 
--- a/tests/lab/load_client.cpp
+++ b/tests/lab/load_client.cpp
@@ -3,9 +3,11 @@
 #include "drivers/backend/engine_codec.h"
 #include "drivers/clock/clock.h"
 #include "drivers/http/http_exchange.h"
+#include "drivers/loop/loop_runner.h"
 #include "tests/lab/engine_model.h"
 
 #include <algorithm>
+#include <array>
 #include <condition_variable>
 #include <fmt/format.h>
 #include <map>
@@ -116,6 +118,15 @@
   return request;
 }
 
+constexpr size_t Loops = 4;
+
+/// The loop of request \p n; one loop can't check the events of a thousand
+/// streams as fast as they come.
+boost::asio::io_context &loopFor(int n) {
+  static std::array<drivers::loop::LoopRunner, Loops> runners;
+  return runners[static_cast<size_t>(n) % Loops].loop();
+}
+
 double percentile(std::vector<double> values, double share) {
   if (values.empty())
     return 0;
@@ -145,7 +156,7 @@
   std::string errorBody;
   bool isDone = false;
   HttpExchange exchange(
-      requestFor(plan, n, prompt),
+      loopFor(n), requestFor(plan, n, prompt),
       [&](int status, std::string_view data) {
         if (status == 200)
           checker.take(data);
--- a/tests/lab/platform_server.h
+++ b/tests/lab/platform_server.h
@@ -1,7 +1,7 @@
 #ifndef ORIOLETALLY_TESTS_LAB_PLATFORM_SERVER_H
 #define ORIOLETALLY_TESTS_LAB_PLATFORM_SERVER_H
 
-#include "drivers/http/http_server.h"
+#include "tests/lab/threaded_server.h"
 
 #include <boost/leaf.hpp>
 #include <chrono>
@@ -65,7 +65,7 @@
   uint64_t Writes = 0;
   uint64_t Reads = 0;
   std::map<std::string, nlohmann::json> Vms;
-  drivers::http::HttpServer Server;
+  ThreadedServer Server;
 };
 
 } // namespace orioletally::lab
--- a/tests/lab/service_server.h
+++ b/tests/lab/service_server.h
@@ -1,7 +1,7 @@
 #ifndef ORIOLETALLY_TESTS_LAB_SERVICE_SERVER_H
 #define ORIOLETALLY_TESTS_LAB_SERVICE_SERVER_H
 
-#include "drivers/http/http_server.h"
+#include "tests/lab/threaded_server.h"
 
 #include <boost/leaf.hpp>
 #include <map>
@@ -42,7 +42,7 @@
   ServiceFaults Faults;
   std::mt19937_64 Random;
   std::map<std::string, int> Executions;
-  drivers::http::HttpServer Server;
+  ThreadedServer Server;
 };
 
 } // namespace orioletally::lab
--- a/drivers/http/socket_stream.cpp
+++ b/tests/lab/socket_stream.cpp
@@ -1,4 +1,4 @@
-#include "drivers/http/socket_stream.h"
+#include "tests/lab/socket_stream.h"
 
 #include "drivers/clock/clock.h"
 
@@ -11,7 +11,7 @@
 #include <poll.h>
 #include <sys/socket.h>
 
-namespace orioletally::drivers::http {
+namespace orioletally::lab {
 
 namespace {
 
@@ -41,7 +41,7 @@
 
 bool SocketStream::waitFor(short events, absl::Time until) const {
   while (true) {
-    const absl::Duration left = until - clock::steadyNow();
+    const absl::Duration left = until - drivers::clock::steadyNow();
     if (left <= absl::ZeroDuration())
       return false;
     const auto ms =
@@ -60,7 +60,8 @@
 }
 
 bool SocketStream::is_writable() const {
-  return waitFor(POLLOUT, clock::steadyNow() + WriteBound) && !isPeerGone();
+  return waitFor(POLLOUT, drivers::clock::steadyNow() + WriteBound) &&
+         !isPeerGone();
 }
 
 ssize_t SocketStream::read(char *ptr, size_t size) {
@@ -89,7 +90,7 @@
 
 ssize_t SocketStream::write(const char *ptr, size_t size) {
   // A slow caller must not hold the thread for longer than the bound.
-  const absl::Time until = clock::steadyNow() + WriteBound;
+  const absl::Time until = drivers::clock::steadyNow() + WriteBound;
   while (true) {
     const ssize_t n = ::send(Fd, ptr, size, MSG_NOSIGNAL | MSG_DONTWAIT);
     const bool isFull = n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
@@ -121,4 +122,4 @@
 
 CurrentConnectionScope::~CurrentConnectionScope() { Current = nullptr; }
 
-} // namespace orioletally::drivers::http
+} // namespace orioletally::lab
--- a/drivers/http/socket_stream.h
+++ b/tests/lab/socket_stream.h
@@ -1,12 +1,12 @@
-#ifndef ORIOLETALLY_DRIVERS_HTTP_SOCKET_STREAM_H
-#define ORIOLETALLY_DRIVERS_HTTP_SOCKET_STREAM_H
+#ifndef ORIOLETALLY_TESTS_LAB_SOCKET_STREAM_H
+#define ORIOLETALLY_TESTS_LAB_SOCKET_STREAM_H
 
 #include <absl/time/time.h>
 #include <httplib.h>
 #include <string>
 #include <vector>
 
-namespace orioletally::drivers::http {
+namespace orioletally::lab {
 
 /// One accepted connection, as cpp-httplib's server reads and writes it. It
 /// adds what the library's own stream lacks: a bound on the time that a whole
@@ -61,6 +61,6 @@
   CurrentConnectionScope &operator=(const CurrentConnectionScope &) = delete;
 };
 
-} // namespace orioletally::drivers::http
+} // namespace orioletally::lab
 
 #endif
--- /dev/null
+++ b/tests/lab/threaded_server.cpp
@@ -0,0 +1,140 @@
+#include "tests/lab/threaded_server.h"
+
+#include "drivers/clock/clock.h"
+#include "tests/lab/socket_stream.h"
+
+#include <cerrno>
+#include <cstring>
+#include <fmt/format.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace leaf = boost::leaf;
+
+namespace orioletally::lab {
+
+namespace {
+
+constexpr int ListenBacklog = 1024;
+constexpr int IdlePollMs = 100;
+
+thread_local ConnectionClass Class = ConnectionClass::Kept;
+
+void shareNothing(socket_t sock) {
+  // SO_REUSEPORT, the library's default, would let a second process take half
+  // of the connections without an error.
+  const int yes = 1;
+  setsockopt(sock, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
+}
+
+} // namespace
+
+ConnectionThreads::ConnectionThreads(size_t limit) : Limit(limit) {}
+
+ConnectionClass ConnectionThreads::connectionClass() { return Class; }
+
+ConnectionClass ConnectionThreads::enter() {
+  const std::lock_guard lock(Guard);
+  ++Running;
+  if (Running <= Limit)
+    return ConnectionClass::Kept;
+  return Running <= 2 * Limit ? ConnectionClass::OneRequest
+                              : ConnectionClass::Closed;
+}
+
+void ConnectionThreads::leave() {
+  const std::lock_guard lock(Guard);
+  --Running;
+  Ended.notify_all();
+}
+
+void ConnectionThreads::enqueue(std::function<void()> fn) {
+  const ConnectionClass entered = enter();
+  if (entered == ConnectionClass::Closed) {
+    Class = entered;
+    fn();
+    leave();
+    return;
+  }
+  std::thread([this, fn = std::move(fn), entered] {
+    Class = entered;
+    fn();
+    leave();
+  }).detach();
+}
+
+void ConnectionThreads::shutdown() {
+  std::unique_lock lock(Guard);
+  Ended.wait(lock, [this] { return Running == 0; });
+}
+
+ThreadedServer::ThreadedServer(const ThreadedServerSettings &wanted)
+    : Wanted(wanted) {
+  set_socket_options(shareNothing);
+  set_tcp_nodelay(true);
+  set_payload_max_length(Wanted.MaxBodyBytes);
+  new_task_queue = [this] {
+    return new ConnectionThreads(Wanted.MaxConnections);
+  };
+}
+
+ThreadedServer::~ThreadedServer() { stop(); }
+
+leaf::result<void> ThreadedServer::start() {
+  const std::string where = fmt::format("{}:{}", Wanted.Address, Wanted.Port);
+  if (Wanted.Port == 0)
+    Port = bind_to_any_port(Wanted.Address);
+  else
+    Port = bind_to_port(Wanted.Address, Wanted.Port) ? Wanted.Port : -1;
+  if (Port <= 0)
+    return leaf::new_error(
+        drivers::loop::ListenError{where, std::strerror(errno)});
+  ::listen(svr_sock_, ListenBacklog);
+  Acceptor = std::thread([this] { listen_after_bind(); });
+  while (!is_running())
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  return {};
+}
+
+void ThreadedServer::stop() {
+  Stopping = true;
+  if (!Acceptor.joinable())
+    return;
+  httplib::Server::stop();
+  Acceptor.join();
+}
+
+bool ThreadedServer::waitForRequest(const SocketStream &stream) const {
+  if (stream.hasBuffered())
+    return true;
+  const absl::Time until = drivers::clock::steadyNow() + Wanted.IdleBound;
+  while (!Stopping && drivers::clock::steadyNow() < until) {
+    pollfd entry{stream.socket(), POLLIN, 0};
+    if (::poll(&entry, 1, IdlePollMs) > 0)
+      return true;
+  }
+  return false;
+}
+
+bool ThreadedServer::process_and_close_socket(socket_t sock) {
+  SocketStream stream(sock, Wanted.WriteBound);
+  const CurrentConnectionScope scope(stream);
+  bool isServed = false;
+  bool isClosed = false;
+  const bool isRefused =
+      ConnectionThreads::connectionClass() == ConnectionClass::Closed;
+  while (!isRefused && !isClosed && waitForRequest(stream)) {
+    stream.boundReads(drivers::clock::steadyNow() + Wanted.RequestBound);
+    const bool isLast = Stopping || ConnectionThreads::connectionClass() !=
+                                        ConnectionClass::Kept;
+    isServed = process_request(stream, isLast, isClosed, nullptr);
+    if (!isServed || isLast || stream.timedOut())
+      break;
+  }
+  ::shutdown(sock, SHUT_RDWR);
+  ::close(sock);
+  return isServed;
+}
+
+} // namespace orioletally::lab
--- /dev/null
+++ b/tests/lab/threaded_server.h
@@ -0,0 +1,96 @@
+#ifndef ORIOLETALLY_TESTS_LAB_THREADED_SERVER_H
+#define ORIOLETALLY_TESTS_LAB_THREADED_SERVER_H
+
+#include "drivers/loop/listener.h"
+
+#include <absl/time/time.h>
+#include <atomic>
+#include <boost/leaf.hpp>
+#include <condition_variable>
+#include <httplib.h>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+
+namespace orioletally::lab {
+
+class SocketStream;
+
+/// Parameters of an ThreadedServer.
+struct ThreadedServerSettings {
+  std::string Address = "127.0.0.1";
+  /// 0 takes a free port.
+  int Port = 0;
+  /// Connections served in full at once. As many again are served one request
+  /// each, so that they learn to come back; any further one is closed.
+  size_t MaxConnections = 1200;
+  size_t MaxBodyBytes = 16777216;
+  /// Time for one whole request to arrive.
+  absl::Duration RequestBound = absl::Seconds(10);
+  absl::Duration WriteBound = absl::Seconds(10);
+  /// Time that a connection may stay open between two requests.
+  absl::Duration IdleBound = absl::Seconds(5);
+};
+
+/// How a connection is treated, by how many there are already.
+enum class ConnectionClass { Kept, OneRequest, Closed };
+
+/// Runs each accepted connection on a thread of its own, up to a limit.
+class ConnectionThreads : public httplib::TaskQueue {
+public:
+  explicit ConnectionThreads(size_t limit);
+
+  void enqueue(std::function<void()> fn) override;
+  void shutdown() override;
+
+  /// The treatment of the connection that this thread serves.
+  static ConnectionClass connectionClass();
+
+private:
+  ConnectionClass enter();
+  void leave();
+
+  std::mutex Guard;
+  std::condition_variable Ended;
+  size_t Limit;
+  size_t Running = 0;
+};
+
+/// A cpp-httplib server with a listen backlog that holds a burst, exclusive
+/// use of its port, a thread a connection and a bound on slow callers.
+class ThreadedServer : private httplib::Server {
+public:
+  explicit ThreadedServer(const ThreadedServerSettings &wanted);
+  ~ThreadedServer() override;
+
+  using httplib::Server::Delete;
+  using httplib::Server::Get;
+  using httplib::Server::Post;
+  using httplib::Server::Put;
+  using httplib::Server::set_error_handler;
+  using httplib::Server::set_exception_handler;
+  using httplib::Server::set_post_routing_handler;
+
+  /// Binds and begins to serve on a thread of its own.
+  boost::leaf::result<void> start();
+
+  /// Stops accepting, ends idle connections and waits for those in progress.
+  void stop();
+
+  /// The port in use after start().
+  int port() const { return Port; }
+
+private:
+  bool process_and_close_socket(socket_t sock) override;
+  bool waitForRequest(const SocketStream &stream) const;
+
+  ThreadedServerSettings Wanted;
+  int Port = 0;
+  std::atomic<bool> Stopping = false;
+  std::thread Acceptor;
+};
+
+} // namespace orioletally::lab
+
+#endif
--- a/tests/support/fleet_fixture.cpp
+++ b/tests/support/fleet_fixture.cpp
@@ -16,11 +16,6 @@
 constexpr auto ReadyBound = std::chrono::seconds(20);
 constexpr absl::Duration CallBound = absl::Seconds(60);
 
-std::string headerOf(const httplib::Headers &headers, const char *name) {
-  const auto it = headers.find(name);
-  return it == headers.end() ? std::string() : it->second;
-}
-
 template <typename Server> void mustStart(Server &server) {
   if (!server.start())
     std::abort();
@@ -55,9 +50,9 @@
       drivers::http::exchangeWithin(request, CallBound, answer.Body);
   answer.Status = end.Status;
   answer.Whole = end.Whole;
-  answer.EntityTag = headerOf(end.Headers, "ETag");
-  answer.RetryAfter = headerOf(end.Headers, "Retry-After");
-  answer.RequestId = headerOf(end.Headers, "X-Request-Id");
+  answer.EntityTag = drivers::http::headerOf(end.Headers, "ETag");
+  answer.RetryAfter = drivers::http::headerOf(end.Headers, "Retry-After");
+  answer.RequestId = drivers::http::headerOf(end.Headers, "X-Request-Id");
   return answer;
 }
 
