Run a relayed call by a state chart, and read settings again on SIGHUP

Cause: the life of a relayed call was spread over four flags; which bound ends a wait was asked of their combination, and a bound that was left from an earlier wait could be taken for that of a later one (a silence bound while memory is reserved). SIGHUP was only logged.

Change: charts/call.toml names states, steps and bounds; core/relay/call_life runs it, the runner asks it which bound is over, and a step that the chart ignores is an error in the log. SIGHUP reads the settings file: the bound on retries, the grace and the store's times change at once, others are named in the log as needing a restart, a bad file changes nothing.

Ruled out: putting the retry decision into the chart; it depends on the route's kind and the budget and stays in core/relay/attempt_policy.

Before and after: tests-core 105 and 110 of 110, tests-platform 33 and 34 of 34.

--- a/charts/embedded_charts.h
+++ b/charts/embedded_charts.h
@@ -10,6 +10,9 @@
 /// Reads the chart of charts/request.toml, which the build embeds.
 boost::leaf::result<core::charts::StateChart> requestChart();
 
+/// Reads the chart of charts/call.toml, which the build embeds.
+boost::leaf::result<core::charts::StateChart> callChart();
+
 } // namespace orioletally::charts
 
 #endif
--- a/core/fields/field_table.cpp
+++ b/core/fields/field_table.cpp
@@ -169,6 +169,15 @@
   return object;
 }
 
+std::vector<std::string>
+FieldValues::changedFrom(const FieldValues &other) const {
+  std::vector<std::string> keys;
+  for (const auto &[key, value] : Values)
+    if (other.at(key) != value)
+      keys.push_back(key);
+  return keys;
+}
+
 uint64_t FieldValues::hash() const {
   const std::string text = toJson().dump();
   return XXH3_64bits(text.data(), text.size());
--- a/core/fields/field_table.h
+++ b/core/fields/field_table.h
@@ -62,6 +62,9 @@
 
   bool operator==(const FieldValues &other) const = default;
 
+  /// The keys whose values differ from those in \p other, in order.
+  std::vector<std::string> changedFrom(const FieldValues &other) const;
+
 private:
   const FieldValue &at(std::string_view key) const;
 
--- a/core/limits/window_budget.h
+++ b/core/limits/window_budget.h
@@ -26,6 +26,9 @@
 public:
   explicit WindowBudget(const WindowBudgetSettings &wanted);
 
+  /// Sets the bound that holds from now on, also for what went before.
+  void setBound(const WindowBudgetSettings &wanted) { Settings = wanted; }
+
   /// Sets how many nodes share the slack.
   void setNodes(size_t n);
 
--- /dev/null
+++ b/core/relay/call_life.cpp
@@ -0,0 +1,55 @@
+#include "core/relay/call_life.h"
+
+#include <algorithm>
+#include <array>
+#include <fmt/format.h>
+
+namespace leaf = boost::leaf;
+
+namespace orioletally::core::relay {
+
+namespace {
+
+constexpr std::string_view ChartName = "call";
+
+constexpr std::array<std::string_view, 7> StateNames = {
+    "choosing",  "opening",    "waiting", "forwarding",
+    "streaming", "delivering", "ended"};
+
+constexpr std::array<std::string_view, 7> StepNames = {
+    "chosen",        "sent",         "events_ready", "events_taken",
+    "attempt_ended", "answer_ready", "settled"};
+
+/// By CallBound; a final state names none.
+constexpr std::array<std::string_view, 5> BoundNames = {
+    "", "time_limit", "connect", "silence", "caller_write"};
+
+} // namespace
+
+absl::Span<const std::string_view> callStateNames() { return StateNames; }
+
+absl::Span<const std::string_view> callStepNames() { return StepNames; }
+
+CallBound CallLife::bound() const {
+  for (size_t n = 0; n < BoundNames.size(); ++n)
+    if (BoundNames[n] == Position.timeout())
+      return static_cast<CallBound>(n);
+  return CallBound::None;
+}
+
+leaf::result<charts::StateChart> parseCallChart(std::string_view text) {
+  BOOST_LEAF_AUTO(
+      chart, charts::StateChart::parse(ChartName, text, StateNames, StepNames));
+  for (size_t n = 0; n < StateNames.size(); ++n) {
+    const std::string &timeout = chart.timeout(static_cast<int>(n));
+    const bool isKnown = std::find(BoundNames.begin(), BoundNames.end(),
+                                   timeout) != BoundNames.end();
+    if (!isKnown)
+      return leaf::new_error(charts::ChartError{
+          std::string(ChartName),
+          fmt::format("state {}: unknown timeout {}", StateNames[n], timeout)});
+  }
+  return chart;
+}
+
+} // namespace orioletally::core::relay
--- a/core/relay/dispatcher.cpp
+++ b/core/relay/dispatcher.cpp
@@ -86,6 +86,12 @@
   budget(service).arrived(now);
 }
 
+void Dispatcher::setRetries(const limits::WindowBudgetSettings &wanted) {
+  Settings.Retries = wanted;
+  for (auto &[service, it] : Budgets)
+    it.setBound(wanted);
+}
+
 void Dispatcher::setNodes(size_t n) {
   Nodes = n;
   for (auto &[service, it] : Budgets)
--- a/core/relay/dispatcher.h
+++ b/core/relay/dispatcher.h
@@ -93,6 +93,9 @@
   /// A call came in for \p service.
   void arrived(const std::string &service, absl::Time now);
 
+  /// Sets the bound on retries that holds from now on.
+  void setRetries(const limits::WindowBudgetSettings &wanted);
+
   /// How many nodes share the budget of retries.
   void setNodes(size_t n);
 
--- a/drivers/relay/call_runner.cpp
+++ b/drivers/relay/call_runner.cpp
@@ -18,6 +18,8 @@
 using core::errors::ErrorCode;
 using core::errors::RequestError;
 using core::relay::AttemptEnd;
+using core::relay::CallBound;
+using core::relay::CallStep;
 using core::relay::Dispatch;
 using core::relay::NextStep;
 using core::routes::RouteKind;
@@ -65,7 +67,7 @@
 CallRunner::CallRunner(RelayContext &wanted, asio::ip::tcp::socket &socket,
                        CallRequest wantedRequest, absl::Time now)
     : Context(wanted), Caller(socket), Request(std::move(wantedRequest)),
-      ArrivedAt(now), Watch(wanted.Loop) {}
+      ArrivedAt(now), Life(wanted.CallChart), Watch(wanted.Loop) {}
 
 asio::awaitable<bool> CallRunner::run() {
   const CallCount count(Context);
@@ -83,10 +85,11 @@
                        Aborted != AttemptEnd::CallerGone;
   if (hasHeld) {
     Progress.Deadline = absl::InfiniteFuture();
+    step(CallStep::AnswerReady);
     const bool isWritten = co_await writePlain();
     KeepCaller = KeepCaller && isWritten;
   }
-  IsOver = true;
+  step(CallStep::Settled);
   Watch.cancel();
   logEnd();
   co_return KeepCaller;
@@ -218,6 +221,7 @@
               {"prompt", dispatch.PromptTokens},
               {"predicted_ms",
                absl::ToInt64Milliseconds(dispatch.PredictedFirstToken)}});
+  step(CallStep::Chosen);
   Current = &dispatch;
   IsStalled = false;
   Context.Calls.sent(dispatch, startedAt);
@@ -232,6 +236,7 @@
   Leases.clear();
   Current = nullptr;
   Channel.reset();
+  step(CallStep::AttemptEnded);
   const absl::Time now = clock::steadyNow();
   if (end != AttemptEnd::NotSent && end != AttemptEnd::NoMemory) {
     ++Progress.Sent;
@@ -269,6 +274,7 @@
 asio::awaitable<AttemptEnd> CallRunner::exchange(Dispatch &dispatch) {
   if (!co_await openChannel(dispatch.Server->Entry.Address))
     co_return lostEnd(false);
+  step(CallStep::Sent);
   auto message = buildAttempt(dispatch, clock::steadyNow());
   watchSilence(
       core::relay::firstByteBound(*Route, dispatch.PredictedFirstToken));
@@ -290,10 +296,8 @@
     co_return false;
   Channel = std::make_unique<BackendChannel>(Context.Loop);
   Channel->Address = address;
-  Connecting = true;
   watch(clock::steadyNow() + ConnectBound);
   const auto [ec] = co_await Channel->Socket.async_connect(*endpoint, AsTuple);
-  Connecting = false;
   if (ec)
     co_return false;
   Context.Metrics.connectionOpened();
@@ -489,7 +493,7 @@
 }
 
 asio::awaitable<bool> CallRunner::writeChunk(const std::string &bytes) {
-  WritingToCaller = true;
+  step(CallStep::EventsReady);
   const absl::Time phaseEnd = PhaseEnd;
   watch(clock::steadyNow() + CallerWriteBound);
   bool isDone = co_await writeStreamHead();
@@ -502,7 +506,7 @@
         co_await asio::async_write(Caller, asio::buffer(bytes), AsTuple);
     isDone = !ec;
   }
-  WritingToCaller = false;
+  step(CallStep::EventsTaken);
   watch(phaseEnd);
   co_return isDone && !Aborted.has_value();
 }
@@ -521,10 +525,8 @@
   Status = static_cast<int>(Held->result_int());
   if (!KeepCaller)
     Held->set(bhttp::field::connection, "close");
-  WritingToCaller = true;
   watch(clock::steadyNow() + CallerWriteBound);
   const auto [ec, n] = co_await bhttp::async_write(Caller, *Held, AsTuple);
-  WritingToCaller = false;
   Watch.cancel();
   co_return !ec;
 }
@@ -549,10 +551,25 @@
   Aborted = reason;
   cutChannel();
   boost::system::error_code ignored;
-  if (WritingToCaller)
+  if (isWritingToCaller())
     Caller.close(ignored);
 }
 
+bool CallRunner::isWritingToCaller() const {
+  return Life.bound() == CallBound::CallerWrite;
+}
+
+void CallRunner::step(CallStep wanted) {
+  if (Life.apply(wanted))
+    return;
+  const auto stepIndex = static_cast<size_t>(wanted);
+  const auto stateIndex = static_cast<size_t>(Life.state());
+  log::write(log::Level::Error, "call_step_ignored",
+             {{"id", Head.AttemptId},
+              {"step", core::relay::callStepNames()[stepIndex]},
+              {"state", core::relay::callStateNames()[stateIndex]}});
+}
+
 void CallRunner::watch(absl::Time phaseEnd) {
   PhaseEnd = phaseEnd;
   if (std::min(PhaseEnd, Progress.Deadline) < WatchAt)
@@ -577,7 +594,7 @@
 
 void CallRunner::onWatch() {
   WatchAt = absl::InfiniteFuture();
-  if (IsOver)
+  if (Life.isEnded())
     return;
   const absl::Time now = clock::steadyNow();
   if (!Aborted.has_value() && now >= Progress.Deadline)
@@ -590,17 +607,27 @@
 
 void CallRunner::onPhaseOver(absl::Time now) {
   PhaseEnd = absl::InfiniteFuture();
-  if (WritingToCaller) {
+  switch (Life.bound()) {
+  case CallBound::CallerWrite: {
     boost::system::error_code ignored;
     Caller.close(ignored);
     return;
   }
-  if (Connecting) {
+  case CallBound::Connect:
     cutChannel();
     return;
-  }
-  if (Current == nullptr || Aborted.has_value())
+  case CallBound::Silence:
+    if (!Aborted.has_value())
+      onSilence(now);
+    return;
+  case CallBound::TimeLimit:
+  case CallBound::None:
+    // The phase that was timed has ended meanwhile.
     return;
+  }
+}
+
+void CallRunner::onSilence(absl::Time now) {
   const absl::Duration silent = now - LastByteAt;
   if (!core::relay::isLost(silent, SilenceBound,
                            now - Current->Server->HeardAt)) {
--- a/drivers/relay/call_runner.h
+++ b/drivers/relay/call_runner.h
@@ -2,6 +2,7 @@
 #define ORIOLETALLY_DRIVERS_RELAY_CALL_RUNNER_H
 
 #include "core/relay/attempt_policy.h"
+#include "core/relay/call_life.h"
 #include "core/relay/event_stream.h"
 #include "drivers/relay/memory_lease.h"
 #include "drivers/relay/relay_context.h"
@@ -74,6 +75,9 @@
   void armWatch();
   void onWatch();
   void onPhaseOver(absl::Time now);
+  void onSilence(absl::Time now);
+  void step(core::relay::CallStep wanted);
+  bool isWritingToCaller() const;
   void logEnd();
 
   RelayContext &Context;
@@ -81,6 +85,7 @@
   CallRequest Request;
   absl::Time ArrivedAt;
 
+  core::relay::CallLife Life;
   std::shared_ptr<const core::routes::RoutingConfig> Config;
   const core::routes::Route *Route = nullptr;
   std::string Workspace;
@@ -104,10 +109,7 @@
   bool IsStalled = false;
   /// A retry was taken from the budget before its attempt was given up.
   bool RetryTaken = false;
-  bool Connecting = false;
-  bool WritingToCaller = false;
   bool KeepCaller = true;
-  bool IsOver = false;
 
   /// The answer that is given if nothing better comes.
   std::optional<PlainResponse> Held;
--- a/drivers/relay/relay_context.h
+++ b/drivers/relay/relay_context.h
@@ -1,6 +1,7 @@
 #ifndef ORIOLETALLY_DRIVERS_RELAY_RELAY_CONTEXT_H
 #define ORIOLETALLY_DRIVERS_RELAY_RELAY_CONTEXT_H
 
+#include "core/charts/state_chart.h"
 #include "core/relay/call_head.h"
 #include "core/relay/dispatcher.h"
 #include "drivers/loop/asio_use.h"
@@ -21,6 +22,7 @@
   core::relay::Dispatcher &Calls;
   const core::relay::CallCodec &Codec;
   metrics::RelayMetrics &Metrics;
+  const core::charts::StateChart &CallChart;
   ChannelPool Channels;
   /// SIGTERM came at this time.
   absl::Time DrainingSince = absl::InfiniteFuture();
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -23,6 +23,7 @@
 
 namespace {
 
+using core::charts::StateChart;
 using core::fields::FieldValues;
 using drivers::loop::AsTuple;
 
@@ -50,16 +51,22 @@
           incarnation};
 }
 
+core::limits::WindowBudgetSettings retrySettings(const FieldValues &settings) {
+  core::limits::WindowBudgetSettings result;
+  result.Share = RetryPart * settings.real("retries.share");
+  result.Slack =
+      RetryPart * static_cast<double>(settings.integer("retries.slack"));
+  result.Window = milliseconds(settings, "retries.window_ms");
+  return result;
+}
+
 core::relay::DispatcherSettings dispatcherSettings(const FieldValues &settings,
                                                    uint64_t incarnation) {
   core::relay::DispatcherSettings result;
   result.Zone = settings.text("node.zone");
   result.Seed = std::random_device{}();
   result.Incarnation = incarnation ^ result.Seed << 20;
-  result.Retries.Share = RetryPart * settings.real("retries.share");
-  result.Retries.Slack =
-      RetryPart * static_cast<double>(settings.integer("retries.slack"));
-  result.Retries.Window = milliseconds(settings, "retries.window_ms");
+  result.Retries = retrySettings(settings);
   return result;
 }
 
@@ -85,6 +92,12 @@
                                     settings.integer("metrics.port")));
 }
 
+/// Whether a setting can change while the node runs; addresses can't.
+bool canReload(std::string_view key) {
+  return key == "node.grace_ms" || key.starts_with("retries.") ||
+         key == "store.wait_ms" || key == "store.bound_ms";
+}
+
 platform::StoreSourceSettings
 storeSettings(const FieldValues &settings,
               const core::platform::NodeEntry &self) {
@@ -100,9 +113,12 @@
 
 /// Every part of a node, in an order in which each outlives those after it.
 struct EntryNode::Parts {
-  Parts(const FieldValues &values, uint64_t incarnation)
-      : Settings(values), Calls(dispatcherSettings(values, incarnation)),
-        Context{Loop, Calls, Codec, Metrics, {}}, View(Context),
+  Parts(const FieldValues &values, uint64_t incarnation, StateChart chart,
+        SettingsReader reader)
+      : Settings(values), Reread(std::move(reader)),
+        CallChart(std::move(chart)),
+        Calls(dispatcherSettings(values, incarnation)),
+        Context{Loop, Calls, Codec, Metrics, CallChart, {}}, View(Context),
         Self(selfEntry(values, incarnation)),
         Source(Loop, storeSettings(values, Self)),
         Peers(Loop, Self, peerHandlers()), Server(Context),
@@ -190,13 +206,25 @@
       const auto [ec, n] = co_await Reload.async_wait(AsTuple);
       if (ec)
         co_return;
-      // Addresses can't change while calls run; nothing else is set there
-      // that a restart wouldn't bring.
-      drivers::log::write(drivers::log::Level::Info, "reload",
-                          {{"changed", false}});
+      if (const std::optional<FieldValues> fresh = Reread())
+        apply(*fresh);
     }
   }
 
+  /// Puts the settings in force that can change while calls run.
+  void apply(const FieldValues &fresh) {
+    nlohmann::json changed = nlohmann::json::array();
+    nlohmann::json needRestart = nlohmann::json::array();
+    for (const std::string &it : fresh.changedFrom(Settings))
+      (canReload(it) ? changed : needRestart).push_back(it);
+    Settings = fresh;
+    Calls.setRetries(retrySettings(Settings));
+    Source.setTimes(milliseconds(Settings, "store.wait_ms"),
+                    milliseconds(Settings, "store.bound_ms"));
+    drivers::log::write(drivers::log::Level::Info, "reload",
+                        {{"changed", changed}, {"need_restart", needRestart}});
+  }
+
   asio::awaitable<void> obeyStop() {
     co_await Signals.async_wait(AsTuple);
     const absl::Time since = drivers::clock::steadyNow();
@@ -223,6 +251,8 @@
   }
 
   FieldValues Settings;
+  SettingsReader Reread;
+  StateChart CallChart;
   drivers::loop::EventLoop Loop;
   core::relay::Dispatcher Calls;
   platform::HeaderCodec Codec;
@@ -240,8 +270,10 @@
   bool IsWhole = true;
 };
 
-EntryNode::EntryNode(const FieldValues &settings, uint64_t incarnation)
-    : All(std::make_unique<Parts>(settings, incarnation)) {}
+EntryNode::EntryNode(const FieldValues &settings, uint64_t incarnation,
+                     StateChart callChart, SettingsReader reread)
+    : All(std::make_unique<Parts>(settings, incarnation, std::move(callChart),
+                                  std::move(reread))) {}
 
 EntryNode::~EntryNode() = default;
 
--- a/main/main.cpp
+++ b/main/main.cpp
@@ -21,6 +21,7 @@
 #include <fmt/format.h>
 #include <functional>
 #include <iostream>
+#include <optional>
 #include <sys/resource.h>
 #include <zmq.h>
 
@@ -127,6 +128,24 @@
                                     : path;
 }
 
+/// The settings in \p file, or nothing, with a log line, if they can't be used.
+std::optional<core::fields::FieldValues>
+rereadSettings(const std::string &file) {
+  using Result = std::optional<core::fields::FieldValues>;
+  const auto refused = [](const std::string &reason) {
+    drivers::log::write(drivers::log::Level::Error, "reload_refused",
+                        {{"reason", reason}});
+    return Result();
+  };
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<Result> {
+        BOOST_LEAF_AUTO(settings, loadEntrySettings(file));
+        return Result(std::move(settings));
+      },
+      [&](const SettingsError &ec) { return refused(ec.text()); },
+      [&] { return refused(file + ": can't be read"); });
+}
+
 ExitCode serveEntry(const std::string &file) {
   raiseFileLimit();
   return reporting([&]() -> leaf::result<ExitCode> {
@@ -136,7 +155,9 @@
     drivers::log::setIdentity(
         settings.text("node.name"), incarnation,
         drivers::log::levelFromName(settings.text("log.level")));
-    EntryNode node(settings, incarnation);
+    BOOST_LEAF_AUTO(chart, charts::callChart());
+    EntryNode node(settings, incarnation, std::move(chart),
+                   [file] { return rereadSettings(file); });
     BOOST_LEAF_CHECK(node.start());
     const bool isWhole = node.run();
     drivers::log::write(drivers::log::Level::Info, "stopped",
@@ -148,6 +169,7 @@
 ExitCode check(const std::string &file) {
   return reporting([&]() -> leaf::result<ExitCode> {
     BOOST_LEAF_CHECK(charts::requestChart());
+    BOOST_LEAF_CHECK(charts::callChart());
     BOOST_LEAF_CHECK(loadSettings(file));
     fmt::print("{}: valid\n", file);
     return ExitCode::Done;
--- /dev/null
+++ b/tests/core/test_call_life.cpp
@@ -0,0 +1,109 @@
+#include "charts/embedded_charts.h"
+#include "core/relay/call_life.h"
+
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace orioletally::core::relay;
+using orioletally::core::charts::ChartError;
+using orioletally::core::charts::StateChart;
+namespace leaf = boost::leaf;
+
+namespace {
+
+/// The chart that the program runs, or one without states.
+StateChart shippedChart() {
+  return leaf::try_handle_all([] { return orioletally::charts::callChart(); },
+                              [] { return StateChart(); });
+}
+
+std::string reasonFor(std::string_view text) {
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<std::string> {
+        BOOST_LEAF_CHECK(parseCallChart(text));
+        return std::string("valid");
+      },
+      [](const ChartError &ec) { return ec.Reason; },
+      [] { return std::string("?"); });
+}
+
+} // namespace
+
+TEST_GROUP(CallLife) {
+  StateChart chart = shippedChart();
+
+  /// Applies \p steps and returns the state after them; fails on one that the
+  /// chart ignores.
+  CallLife after(const std::vector<CallStep> &steps) {
+    CallLife life(chart);
+    for (const CallStep it : steps)
+      CHECK(life.apply(it));
+    return life;
+  }
+};
+
+TEST(CallLife, WholeAnswerIsDeliveredOnceAndEndsTheCall) {
+  CallLife life = after({CallStep::Chosen, CallStep::Sent,
+                         CallStep::AttemptEnded, CallStep::AnswerReady});
+  CHECK(life.bound() == CallBound::CallerWrite);
+  CHECK(life.apply(CallStep::Settled));
+  CHECK(life.isEnded());
+  CHECK_FALSE(life.apply(CallStep::AnswerReady));
+  CHECK_FALSE(life.apply(CallStep::Chosen));
+}
+
+TEST(CallLife, AnAttemptMayEndInEachOfItsStates) {
+  const std::vector<std::vector<CallStep>> ways = {
+      {CallStep::Chosen},
+      {CallStep::Chosen, CallStep::Sent},
+      {CallStep::Chosen, CallStep::Sent, CallStep::EventsReady},
+      {CallStep::Chosen, CallStep::Sent, CallStep::EventsReady,
+       CallStep::EventsTaken},
+  };
+  for (const auto &it : ways) {
+    CallLife life = after(it);
+    CHECK(life.apply(CallStep::AttemptEnded));
+    CHECK(life.state() == CallState::Choosing);
+    CHECK(life.apply(CallStep::Settled));
+  }
+}
+
+TEST(CallLife, EachWaitHasItsBound) {
+  CHECK(after({}).bound() == CallBound::TimeLimit);
+  CHECK(after({CallStep::Chosen}).bound() == CallBound::Connect);
+  CHECK(after({CallStep::Chosen, CallStep::Sent}).bound() ==
+        CallBound::Silence);
+  CHECK(after({CallStep::Chosen, CallStep::Sent, CallStep::EventsReady})
+            .bound() == CallBound::CallerWrite);
+  CHECK(after({CallStep::Chosen, CallStep::Sent, CallStep::EventsReady,
+               CallStep::EventsTaken})
+            .bound() == CallBound::Silence);
+  CHECK(after({CallStep::Settled}).bound() == CallBound::None);
+}
+
+TEST(CallLife, NothingIsSentBeforeAChoiceOrInTwoAttemptsAtOnce) {
+  CHECK_FALSE(after({}).apply(CallStep::Sent));
+  CHECK_FALSE(after({CallStep::Chosen}).apply(CallStep::Chosen));
+  CHECK_FALSE(
+      after({CallStep::Chosen, CallStep::Sent}).apply(CallStep::Chosen));
+  CHECK_FALSE(
+      after({CallStep::Chosen, CallStep::Sent}).apply(CallStep::AnswerReady));
+}
+
+TEST(CallLife, ChartWithABoundThatNobodyKeepsIsTurnedAway) {
+  std::string text = "initial='choosing'\n";
+  const char *names[] = {"opening",   "waiting",    "forwarding",
+                         "streaming", "delivering", "ended"};
+  text += "[[state]]\nname='choosing'\ntimeout='patience'\n[state.on]\n"
+          "chosen='opening'\nsent='waiting'\nevents_ready='forwarding'\n"
+          "events_taken='streaming'\nanswer_ready='delivering'\n"
+          "settled='ended'\n";
+  for (const char *it : names)
+    text += std::string("[[state]]\nname='") + it +
+            (std::string(it) == "ended" ? "'\nfinal=true\n"
+                                        : "'\ntimeout='silence'\n");
+  STRCMP_EQUAL("state choosing: unknown timeout patience",
+               reasonFor(text).c_str());
+}
--- a/tests/platform/test_relay.cpp
+++ b/tests/platform/test_relay.cpp
@@ -391,6 +391,27 @@
   }
 }
 
+TEST(Relay, SettingsAreReadAgainOnSighupAndBadOnesLeaveTheOldInForce) {
+  StandInBackend backend(scripts::answer("hello"));
+  fixture.list("i-1", "plain", backend.address());
+  CHECK(fixture.start(1));
+  fixture.writeSettings("[retries]\nslack = 7\n[log]\nlevel = \"warn\"\n");
+  fixture.Process.signal(SIGHUP);
+  const auto read =
+      fixture.Process.waitEvent("reload", std::chrono::seconds(2));
+  CHECK(read.has_value());
+  STRCMP_EQUAL("[\"retries.slack\"]", (*read)["changed"].dump().c_str());
+  STRCMP_EQUAL("[\"log.level\"]", (*read)["need_restart"].dump().c_str());
+  fixture.writeSettings("[retries]\nslak = 7\n");
+  fixture.Process.signal(SIGHUP);
+  const auto refused =
+      fixture.Process.waitEvent("reload_refused", std::chrono::seconds(2));
+  CHECK(refused.has_value());
+  CHECK((*refused)["reason"].get<std::string>().find("retries.slak") !=
+        std::string::npos);
+  LONGS_EQUAL(200, fixture.call("GET", "/read/x").Status);
+}
+
 TEST(Relay, CallsThatMightBeCutOffByTheEndAreRefusedAtOnce) {
   StandInBackend engine(scripts::stream(1, 55, 100));
   fixture.list("i-1", "engine", engine.address());
--- a/tests/support/relay_fixture.cpp
+++ b/tests/support/relay_fixture.cpp
@@ -170,7 +170,8 @@
 } // namespace scripts
 
 RelayFixture::RelayFixture()
-    : Calls(loopback(freePort())), Ready(loopback(freePort())) {}
+    : Calls(loopback(freePort())), Ready(loopback(freePort())),
+      Peers(loopback(freePort())) {}
 
 void RelayFixture::list(const std::string &id, const std::string &service,
                         const std::string &address, const std::string &state) {
@@ -228,14 +229,18 @@
           .dump());
 }
 
-bool RelayFixture::start(size_t backends) {
-  const std::string settings = Process.writeFile(
+std::string RelayFixture::writeSettings(const std::string &extra) const {
+  return Process.writeFile(
       "entry.toml",
       fmt::format("[node]\nname = \"n1\"\nzone = \"z\"\n[calls]\n"
                   "address = \"{}\"\n[ready]\naddress = \"{}\"\n[metrics]\n"
                   "port = 0\n[peers]\naddress = \"{}\"\n[store]\n"
-                  "address = \"{}\"\nwait_ms = 300\nbound_ms = 300\n",
-                  Calls, Ready, loopback(freePort()), Store.address()));
+                  "address = \"{}\"\nwait_ms = 300\nbound_ms = 300\n{}",
+                  Calls, Ready, Peers, Store.address(), extra));
+}
+
+bool RelayFixture::start(size_t backends) {
+  const std::string settings = writeSettings("");
   Process.start({"entry", "--settings", settings});
   const auto read = Process.waitEvent("backends_read_whole",
                                       std::chrono::milliseconds(StartBoundMs));
--- a/tests/support/relay_fixture.h
+++ b/tests/support/relay_fixture.h
@@ -74,6 +74,10 @@
   /// Writes the configuration of this test with \p version.
   void configure(int version, const std::string &extraRoute = "");
 
+  /// Writes the node's settings file, with \p extra lines at its end; returns
+  /// its path.
+  std::string writeSettings(const std::string &extra) const;
+
   /// Starts the node and waits until it is ready and knows \p backends.
   bool start(size_t backends);
 
@@ -98,6 +102,7 @@
   ChildProcess Process;
   std::string Calls;
   std::string Ready;
+  std::string Peers;
 };
 
 /// Waits for \p condition for up to \p ms.
