Take a profile back as it was read

Cause: GET shows name, revision, retired and fields, PUT knew the fields alone; what was read could not be written back.

Change: PUT takes both forms; in the shown one, name and revision have to be those of the path and of If-Match, and nothing unknown may stand beside them.

Ruled out: a GET of the fields alone; callers of today read the rest.

Before and after: Callers.AProfileCanBeWrittenBackAsItWasRead 400 for 200, then OK.

--- a/core/profiles/profile_change.h
+++ b/core/profiles/profile_change.h
@@ -88,6 +88,13 @@
 using ChangeOutcome =
     std::variant<ChangeCommitted, ChangeLostRace, ChangeIdTaken>;
 
+/// Returns the fields in the body of a change to \p name: they stand there
+/// alone, or in a profile as it is shown, whose name has to be that and whose
+/// revision \p revision; 0 takes any. Fails with a fields::FieldError.
+boost::leaf::result<nlohmann::json> fieldsOfBody(const nlohmann::json &body,
+                                                 std::string_view name,
+                                                 uint64_t revision);
+
 /// Lists the fields in which two sets of values differ. \p before may be null.
 std::vector<FieldDifference> differences(const fields::FieldValues *before,
                                          const fields::FieldValues &after);
--- a/tests/system/test_callers.cpp
+++ b/tests/system/test_callers.cpp
@@ -153,6 +153,32 @@
   LONGS_EQUAL(0, fleet->Engines[0]->submits() + fleet->Engines[1]->submits());
 }
 
+TEST(Callers, AProfileCanBeWrittenBackAsItWasRead) {
+  const std::string path = "/v1/profiles/p";
+  const HttpAnswer read = httpCall(node->address(), "GET", path, "operator");
+  LONGS_EQUAL(200, read.Status);
+  const auto put = [&](const json &body, const std::string &tag) {
+    return httpCall(node->address(), "PUT", path, "operator", body.dump(),
+                    {{"If-Match", tag}});
+  };
+  const HttpAnswer same = put(read.json(), read.EntityTag);
+  LONGS_EQUAL(200, same.Status);
+  const HttpAnswer again = httpCall(node->address(), "GET", path, "operator");
+  CHECK(read.json()["fields"] == again.json()["fields"]);
+  json changed = again.json();
+  changed["fields"]["max_prompt_tokens"] = 1999;
+  LONGS_EQUAL(200, put(changed, again.EntityTag).Status);
+  // What was read elsewhere or at another revision is no change of this one.
+  const HttpAnswer last = httpCall(node->address(), "GET", path, "operator");
+  json other = last.json();
+  other["name"] = "q";
+  LONGS_EQUAL(400, put(other, last.EntityTag).Status);
+  LONGS_EQUAL(400, put(changed, last.EntityTag).Status);
+  json unknown = last.json();
+  unknown["extra"] = 1;
+  LONGS_EQUAL(400, put(unknown, last.EntityTag).Status);
+}
+
 TEST(Callers, BodyBeyondTheLimitIsRefused) {
   const HttpAnswer answer =
       complete({{"model", "p"}, {"prompt", std::string(17 << 20, 'x')}});
