Move the requests of one stopped engine, and feed it no more

Cause: 60 streamed questions, 20 at once, one of four engines stopped: engine-0 went on getting requests until each had stalled three times (1.5 s), and those beyond the reserve of 10 retries ended in "the retry budget is spent" although no token had come. A node with little traffic saves up too little.

Change: the first stall sets an engine aside; a failure of one that wasn't set aside allows as many moves as it holds requests, while at least half of the others work.

--- a/core/limits/retry_budget.cpp
+++ b/core/limits/retry_budget.cpp
@@ -10,9 +10,13 @@
 void RetryBudget::succeeded() { Balance = std::min(Reserve, Balance + Share); }
 
 bool RetryBudget::tryTake() {
-  if (Balance < 1.0)
+  if (Balance >= 1.0) {
+    Balance -= 1.0;
+    return true;
+  }
+  if (Moves == 0)
     return false;
-  Balance -= 1.0;
+  --Moves;
   return true;
 }
 
--- a/core/requests/request_machine.cpp
+++ b/core/requests/request_machine.cpp
@@ -305,7 +305,14 @@
   if (state() == RequestState::Cancelling)
     on(CancelAnswered{Attempt, std::nullopt}, now);
   else
-    loseConnection("silent for the stall bound", now);
+    loseSilentConnection(now);
+}
+
+void RequestMachine::loseSilentConnection(absl::Time now) {
+  // The engine may be stopped: no new work for it until it is heard again.
+  if (LostInARow == 0)
+    Selector.failed(Current.BackendId, now);
+  loseConnection("silent for the stall bound", now);
 }
 
 void RequestMachine::loseConnection(std::string_view cause, absl::Time now) {
--- a/core/requests/request_machine.h
+++ b/core/requests/request_machine.h
@@ -100,6 +100,7 @@
   void trySubmit(absl::Time now);
   void denied(const routing::RouteDenied &denial, absl::Time now);
   void loseConnection(std::string_view cause, absl::Time now);
+  void loseSilentConnection(absl::Time now);
   void loseStream(std::string_view cause, absl::Time now);
   void returnToQueue(RequestStep step, absl::Time now);
   void releaseBackend(bool completed, absl::Time now);
--- a/core/routing/fleet_router.cpp
+++ b/core/routing/fleet_router.cpp
@@ -134,9 +134,27 @@
 }
 
 void FleetRouter::failed(const std::string &backend, absl::Time now) {
+  Budget.allowMoves(movable(backend, now));
   Registry.markFailed(backend, now);
 }
 
+int64_t FleetRouter::movable(const std::string &id, absl::Time now) const {
+  int64_t held = 0;
+  size_t others = 0;
+  const std::vector<const BackendState *> known = Registry.listedBackends();
+  for (const BackendState *it : known) {
+    if (!it->isUsable(now))
+      continue;
+    if (it->Vm.Id == id)
+      held = it->InFlight;
+    else
+      ++others;
+  }
+  // Of a backend server that is set aside already, nothing more is moved; and
+  // where most of them fail, moves would only add to the load.
+  return 2 * others >= known.size() ? held : 0;
+}
+
 void FleetRouter::released(const std::string &backend, const RouteQuery &,
                            bool completed, absl::Time) {
   Registry.ended(backend);
--- a/core/routing/fleet_router.h
+++ b/core/routing/fleet_router.h
@@ -45,6 +45,8 @@
   BackendRegistry &registry() { return Registry; }
 
 private:
+  /// Requests at \p id that may be moved although the budget is spent.
+  int64_t movable(const std::string &id, absl::Time now) const;
   RoutingPolicy &policy(const std::string &name);
   std::vector<const BackendState *>
   usable(const std::vector<const BackendState *> &known,
--- a/tests/core/test_routing.cpp
+++ b/tests/core/test_routing.cpp
@@ -103,6 +103,47 @@
   CHECK(submits < 1.2 * Requests);
 }
 
+TEST(FleetRouter, RequestsOfOneSilentBackendAreMovedThoughTheBudgetIsSpent) {
+  router.registry().replaceList(
+      {engineVm("a"), engineVm("b"), engineVm("c"), engineVm("d")}, at(0));
+  std::map<std::string, int> held;
+  for (int n = 0; n < 60; ++n)
+    ++held[choose(at(0))];
+  query.AttemptsMade = 1;
+  query.Exclude = {"a"};
+  // Nothing has succeeded yet, so that the reserve is all there is.
+  const int reserve = static_cast<int>(RouterSettings{}.RetryReserve);
+  for (int n = 0; n < reserve; ++n)
+    CHECK(choose(at(1)) != "budget_spent");
+  STRCMP_EQUAL("budget_spent", choose(at(1)).c_str());
+  router.failed("a", at(2));
+  for (int n = 0; n < held["a"]; ++n) {
+    const std::string id = choose(at(3));
+    CHECK(id == "b" || id == "c" || id == "d");
+  }
+  STRCMP_EQUAL("budget_spent", choose(at(4)).c_str());
+  // A second failure of the same one while it is set aside allows nothing.
+  router.failed("a", at(5));
+  STRCMP_EQUAL("budget_spent", choose(at(6)).c_str());
+}
+
+TEST(FleetRouter, NothingMoreIsMovedOnceMostBackendsFail) {
+  router.registry().replaceList(
+      {engineVm("a"), engineVm("b"), engineVm("c"), engineVm("d")}, at(0));
+  std::map<std::string, int> held;
+  for (int n = 0; n < 80; ++n)
+    ++held[choose(at(0))];
+  for (const char *it : {"a", "b", "c", "d"})
+    router.failed(it, at(1));
+  // Beside the reserve, what the first two held may be moved.
+  query.AttemptsMade = 1;
+  int moved = 0;
+  while (choose(at(1000)) != "budget_spent" && moved < 80)
+    ++moved;
+  const int reserve = static_cast<int>(RouterSettings{}.RetryReserve);
+  LONGS_EQUAL(reserve + held["a"] + held["b"], moved);
+}
+
 TEST_GROUP(StreamLimiter){};
 
 TEST(StreamLimiter, OneWorkspaceMayUseAnIdleNodeButNotABusyOne) {
--- a/tests/lab/engine_server.cpp
+++ b/tests/lab/engine_server.cpp
@@ -122,8 +122,19 @@
   }
 }
 
+bool EngineServer::isStopped() {
+  const std::lock_guard lock(Guard);
+  return Faults.Stopped;
+}
+
+void EngineServer::waitWhileStopped() {
+  while (isStopped() && !Stopping && !currentConnection()->isPeerGone())
+    std::this_thread::sleep_for(SilentPause);
+}
+
 void EngineServer::submit(const httplib::Request &request,
                           httplib::Response &response) {
+  waitWhileStopped();
   ++Submits;
   EngineSubmit submit = submitFrom(json::parse(request.body));
   const StreamId id = submit.Stream;
@@ -146,6 +157,7 @@
 
 void EngineServer::resume(const httplib::Request &request,
                           httplib::Response &response) {
+  waitWhileStopped();
   const StreamId id = streamIn(request);
   {
     const std::lock_guard lock(Guard);
@@ -233,7 +245,7 @@
       text = drivers::backend::lineFromFrame(frame) + "\n";
     }
   }
-  while (feed.Epoch != SilenceEpoch && !Stopping) {
+  while ((feed.Epoch != SilenceEpoch || isStopped()) && !Stopping) {
     std::this_thread::sleep_for(SilentPause);
     if (currentConnection()->isPeerGone())
       return false;
@@ -259,6 +271,7 @@
     resume(request, response);
   });
   Server.Delete(named, [this](const auto &request, auto &response) {
+    waitWhileStopped();
     const std::lock_guard lock(Guard);
     const auto state = Model.cancel(streamIn(request), steadyNow());
     reply(response, StatusOk,
@@ -272,6 +285,7 @@
 
 void EngineServer::report(const httplib::Request &request,
                           httplib::Response &response) {
+  waitWhileStopped();
   int delay = 0;
   {
     const std::lock_guard lock(Guard);
--- a/tests/lab/engine_server.h
+++ b/tests/lab/engine_server.h
@@ -23,6 +23,8 @@
   bool LoseSubmitReply = false;
   /// Streams are cut after this many tokens, once each; 0 for never.
   uint64_t CutAfterTokens = 0;
+  /// Nothing is answered and no stream goes on, as if the process was stopped.
+  bool Stopped = false;
   /// Delay of the list of holdings.
   int ListDelayMs = 0;
 };
@@ -59,6 +61,9 @@
               httplib::Response &response);
   bool writeSome(Feed &feed, httplib::DataSink &sink);
   std::string framesSince(Feed &feed);
+  bool isStopped();
+  /// Holds a call back while the engine counts as stopped.
+  void waitWhileStopped();
   void report(const httplib::Request &request, httplib::Response &response);
   void work();
 
--- a/tests/system/test_faults.cpp
+++ b/tests/system/test_faults.cpp
@@ -121,6 +121,27 @@
   }
 };
 
+TEST(Faults, RequestsOfAStoppedEngineAreMovedWhole) {
+  start(4, 1, {{"deadline_ms", 10000}});
+  lab::EngineFaults faults;
+  faults.Stopped = true;
+  fleet->Engines[0]->setFaults(faults);
+  LoadPlan plan = planFor(node(0), 5);
+  plan.Requests = 60;
+  std::vector<LoadSample> samples(60);
+  std::atomic<int> next = 0;
+  std::vector<std::thread> callers;
+  for (int n = 0; n < 20; ++n)
+    callers.emplace_back([&] {
+      for (int it = next++; it < plan.Requests; it = next++)
+        samples[static_cast<size_t>(it)] = lab::runRequest(plan, it);
+    });
+  for (std::thread &it : callers)
+    it.join();
+  for (const LoadSample &it : samples)
+    CHECK_TEXT(it.Whole && it.Right, it.ErrorCode.c_str());
+}
+
 TEST(Faults, SilentConnectionsAreResumedWithoutALostByte) {
   start(1, 1);
   BackgroundLoad load(planFor(node(0), 100), 10);
