--- a/drivers/relay/caller_session.cpp
+++ b/drivers/relay/caller_session.cpp
@@ -92,10 +92,19 @@
   co_return isKept;
 }
 
+void CallerSession::closeIfIdle() {
+  boost::system::error_code ec;
+  // A call whose bytes are here already is read and answered.
+  if (Idle && Stream.socket().available(ec) == 0)
+    Stream.close();
+}
+
 asio::awaitable<bool> CallerSession::awaitFirstByte(absl::Duration bound) {
   Stream.expires_after(chrono(bound));
+  Idle = true;
   const auto [ec, n] =
       co_await Stream.async_read_some(Buffer.prepare(ReadBytes), AsTuple);
+  Idle = false;
   Buffer.commit(n);
   co_return !ec;
 }
--- a/drivers/relay/caller_session.h
+++ b/drivers/relay/caller_session.h
@@ -17,6 +17,9 @@
 
   asio::awaitable<void> run();
 
+  /// Closes the connection if no call is on it or has arrived.
+  void closeIfIdle();
+
 private:
   asio::awaitable<bool> serveOne();
   asio::awaitable<bool> awaitFirstByte(absl::Duration bound);
@@ -28,6 +31,8 @@
   RelayContext &Context;
   beast::tcp_stream Stream;
   beast::flat_buffer Buffer;
+  /// Between two calls.
+  bool Idle = false;
 };
 
 } // namespace orioletally::drivers::relay
--- a/drivers/relay/relay_server.cpp
+++ b/drivers/relay/relay_server.cpp
@@ -25,6 +25,11 @@
   return {};
 }
 
+void RelayServer::closeIdle() {
+  for (const std::shared_ptr<CallerSession> &it : Sessions)
+    it->closeIfIdle();
+}
+
 void RelayServer::stopAccepting() {
   if (Listener != nullptr)
     Listener->close();
--- a/drivers/relay/relay_server.h
+++ b/drivers/relay/relay_server.h
@@ -22,6 +22,10 @@
   boost::leaf::result<void> listenForCalls(const std::string &address,
                                            size_t maxSessions);
 
+  /// Closes the connections that carry no call, so that callers open their
+  /// next one to another node.
+  void closeIdle();
+
   /// Takes no new connections of callers.
   void stopAccepting();
 
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -236,8 +236,10 @@
     asio::steady_timer timer(Loop);
     for (;;) {
       const absl::Time now = drivers::clock::steadyNow();
-      const bool isQuiet = now - since >= drivers::relay::BalancerBound &&
-                           Context.InProgress == 0;
+      const bool isOutOfRotation = now - since >= drivers::relay::BalancerBound;
+      if (isOutOfRotation)
+        Server.closeIdle();
+      const bool isQuiet = isOutOfRotation && Context.InProgress == 0;
       if (isQuiet || now >= until)
         break;
       timer.expires_after(DrainStep);
--- a/tests/platform/test_relay.cpp
+++ b/tests/platform/test_relay.cpp
@@ -430,6 +430,22 @@
   LONGS_EQUAL(0, fixture.Process.waitExit(std::chrono::seconds(8)));
 }
 
+TEST(Relay, IdleConnectionsAreClosedOnceTheBalancerHasTurnedAway) {
+  StandInBackend backend(scripts::answer("hello"));
+  StandInBackend engine(scripts::stream(1, 50, 100));
+  fixture.list("i-1", "plain", backend.address());
+  fixture.list("e-1", "engine", engine.address());
+  CHECK(fixture.start(2));
+  // A stream of five seconds keeps the node from ending early.
+  std::thread streaming([&] { fixture.call("POST", "/ask/x"); });
+  const auto idle = lab::connectTo(fixture.Calls);
+  CHECK(within(2000, [&] { return engine.attempts() == 1; }));
+  fixture.Process.signal(SIGTERM);
+  CHECK_FALSE(idle->closesWithin(2'000));
+  CHECK(idle->closesWithin(1'500));
+  streaming.join();
+}
+
 TEST(Relay, SigtermCutsNothingOff) {
   StandInBackend engine(scripts::stream(1, 20, 100));
   fixture.list("i-1", "engine", engine.address());
