--- a/core/platform/fleet_source.h
+++ b/core/platform/fleet_source.h
@@ -24,6 +24,8 @@
   /// "ip:port" that other nodes reach it under.
   std::string PeerAddress;
   uint64_t Incarnation = 0;
+  /// Version of the row that says so; 0 where none was read.
+  uint64_t RowVersion = 0;
 };
 
 /// Hears what the platform knows of the fleet. All calls come from one thread.
@@ -43,6 +45,9 @@
   /// All nodes that have registered themselves, this one included.
   virtual void nodesRead(const std::vector<NodeEntry> &nodes) = 0;
 
+  /// \p node was taken off the list, unless it has registered itself anew.
+  virtual void nodeForgotten(const NodeEntry &node, bool isRemoved) = 0;
+
   /// \p topic can't be followed, because of \p reason; called for each failed
   /// call.
   virtual void topicLost(FleetTopic topic, const std::string &reason) = 0;
@@ -55,8 +60,8 @@
                            const std::string &reason) = 0;
 };
 
-/// Follows what the platform keeps about the fleet, and registers this node.
-/// Every call of an implementation is bounded in time and paced.
+/// Follows what the platform keeps about the fleet, and keeps this node
+/// registered. Every call of an implementation is bounded in time and paced.
 class FleetSource {
 public:
   virtual ~FleetSource() = default;
@@ -67,6 +72,13 @@
   /// Ends all calls.
   virtual void stop() = 0;
 
+  /// Takes this node off the list of nodes, on which it isn't put again.
+  virtual void withdraw() = 0;
+
+  /// Takes \p nodes off the list, but for those that have registered
+  /// themselves since they were read.
+  virtual void forgetNodes(std::vector<NodeEntry> nodes) = 0;
+
   /// Reads a configuration that another node passed on; null, after a call of
   /// rowRejected(), when it can't be read.
   virtual std::shared_ptr<const routes::RoutingConfig>
--- a/drivers/gateway/operator_api.cpp
+++ b/drivers/gateway/operator_api.cpp
@@ -56,15 +56,15 @@
 }
 
 /// Reads the fields of a change, or tells what is wrong with them.
-std::variant<FieldValues, RequestError>
-readFields(const std::string &body, const std::string &name,
-           uint64_t revision) {
+std::variant<FieldValues, RequestError> readFields(const std::string &body,
+                                                   const std::string &name,
+                                                   uint64_t revision) {
   using Result = std::variant<FieldValues, RequestError>;
   const json object = json::parse(body, nullptr, false);
   return leaf::try_handle_all(
       [&]() -> leaf::result<Result> {
-        BOOST_LEAF_AUTO(
-            fields, core::profiles::fieldsOfBody(object, name, revision));
+        BOOST_LEAF_AUTO(fields,
+                        core::profiles::fieldsOfBody(object, name, revision));
         BOOST_LEAF_AUTO(values, core::profiles::profileFields().read(fields));
         BOOST_LEAF_CHECK(core::profiles::checkConsistency(values));
         return Result(std::move(values));
@@ -172,8 +172,8 @@
                               "with the ETag to change",
                               "a change names the revision it was made from"));
   wanted.Kind = isCreate ? ChangeKind::Create : ChangeKind::Change;
-  auto fields = readFields(request.Body, wanted.Name,
-                           revisionFromTag(tag).value_or(0));
+  auto fields =
+      readFields(request.Body, wanted.Name, revisionFromTag(tag).value_or(0));
   if (const auto *error = std::get_if<RequestError>(&fields))
     return replyError(response, *error);
   wanted.Values = std::get<FieldValues>(std::move(fields));
--- a/drivers/relay/fleet_view.cpp
+++ b/drivers/relay/fleet_view.cpp
@@ -77,6 +77,14 @@
     TakeNodes(nodes);
 }
 
+void FleetView::nodeForgotten(const core::platform::NodeEntry &node,
+                              bool isRemoved) {
+  log::write(log::Level::Info, "node_forgotten",
+             {{"name", node.Name},
+              {"row_version", node.RowVersion},
+              {"removed", isRemoved}});
+}
+
 void FleetView::topicLost(FleetTopic topic, const std::string &reason) {
   Context.Metrics.storeCall(core::platform::fleetTopicName(topic), false);
   const absl::Time now = clock::steadyNow();
--- a/drivers/relay/fleet_view.h
+++ b/drivers/relay/fleet_view.h
@@ -34,6 +34,8 @@
   void backendChanged(core::fleet::BackendEntry entry) override;
   void backendRemoved(const std::string &id) override;
   void nodesRead(const std::vector<core::platform::NodeEntry> &nodes) override;
+  void nodeForgotten(const core::platform::NodeEntry &node,
+                     bool isRemoved) override;
   void topicLost(core::platform::FleetTopic topic,
                  const std::string &reason) override;
   void topicFollowed(core::platform::FleetTopic topic) override;
--- a/drivers/relay/peer_link.cpp
+++ b/drivers/relay/peer_link.cpp
@@ -87,7 +87,7 @@
                     receive(copy);
                   });
                 }),
-      Flush(loop), Beat(loop) {}
+      Roster(Self.Name), Flush(loop), Beat(loop) {}
 
 leaf::result<void> PeerLink::start() {
   BOOST_LEAF_CHECK(Transport.start());
@@ -113,6 +113,7 @@
 }
 
 void PeerLink::nodesRead(const std::vector<NodeEntry> &nodes, absl::Time now) {
+  Roster.read(nodes, now);
   bool isNew = false;
   for (const NodeEntry &it : nodes) {
     if (it.Name == Self.Name)
@@ -187,6 +188,7 @@
   Peer &peer = Peers[message.node()];
   if (message.incarnation() < peer.Incarnation)
     return;
+  Roster.heard(message.node(), now);
   const bool isNew = message.incarnation() != peer.Incarnation;
   peer = {message.peer_address(), message.incarnation(), now};
   if (isNew)
--- a/drivers/relay/peer_link.h
+++ b/drivers/relay/peer_link.h
@@ -1,6 +1,7 @@
 #ifndef ORIOLETALLY_DRIVERS_RELAY_PEER_LINK_H
 #define ORIOLETALLY_DRIVERS_RELAY_PEER_LINK_H
 
+#include "core/fleet/node_roster.h"
 #include "core/platform/fleet_source.h"
 #include "core/relay/load_news.h"
 #include "drivers/loop/asio_use.h"
@@ -50,6 +51,11 @@
   void nodesRead(const std::vector<core::platform::NodeEntry> &nodes,
                  absl::Time now);
 
+  /// Registered nodes that this one should take off the list.
+  std::vector<core::platform::NodeEntry> gone(absl::Time now) const {
+    return Roster.gone(now);
+  }
+
   /// Nodes heard of lately, this one included.
   size_t nodes(absl::Time now) const;
 
@@ -70,6 +76,7 @@
   PeerLinkHandlers Handlers;
   peer::PeerTransport Transport;
   std::map<std::string, Peer> Peers;
+  core::fleet::NodeRoster Roster;
   std::vector<core::relay::PromptNews> Pending;
   asio::steady_timer Flush;
   asio::steady_timer Beat;
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -48,7 +48,7 @@
 core::platform::NodeEntry selfEntry(const FieldValues &settings,
                                     uint64_t incarnation) {
   return {settings.text("node.name"), settings.text("peers.address"),
-          incarnation};
+          incarnation, 0};
 }
 
 core::limits::WindowBudgetSettings retrySettings(const FieldValues &settings) {
@@ -129,7 +129,11 @@
         [this](const core::relay::PromptNews &it) { Peers.tell(it); });
     View.setNews([this] { Peers.tellFleet(); });
     View.setNodes([this](const auto &nodes) {
-      Peers.nodesRead(nodes, drivers::clock::steadyNow());
+      const absl::Time now = drivers::clock::steadyNow();
+      Peers.nodesRead(nodes, now);
+      std::vector<core::platform::NodeEntry> gone = Peers.gone(now);
+      if (!gone.empty())
+        Source.forgetNodes(std::move(gone));
     });
   }
 
@@ -229,6 +233,7 @@
     co_await Signals.async_wait(AsTuple);
     const absl::Time since = drivers::clock::steadyNow();
     Context.DrainingSince = since;
+    Source.withdraw();
     drivers::log::write(drivers::log::Level::Info, "draining",
                         {{"in_progress", Context.InProgress}});
     const absl::Time until =
--- /dev/null
+++ b/tests/core/test_node_roster.cpp
@@ -0,0 +1,72 @@
+#include "core/fleet/node_roster.h"
+#include "tests/support/request_fixture.h"
+
+#include <fmt/format.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace orioletally;
+using core::fleet::NodeRoster;
+using core::platform::NodeEntry;
+using tests::at;
+
+namespace {
+
+const int64_t Gone = absl::ToInt64Milliseconds(NodeRoster::GoneAfter);
+
+std::vector<NodeEntry> entries(int n) {
+  std::vector<NodeEntry> result;
+  for (int it = 0; it < n; ++it)
+    result.push_back({fmt::format("n{}", it), "10.0.0.1:1", 1, 7});
+  return result;
+}
+
+} // namespace
+
+TEST_GROUP(NodeRoster) {
+  NodeRoster roster{"n0"};
+
+  /// Nodes \p from to \p to say something once a minute for an hour.
+  void talk(NodeRoster & target, int from, int to) {
+    for (int64_t ms = 0; ms <= 2 * Gone; ms += 60'000)
+      for (int it = from; it <= to; ++it)
+        target.heard(fmt::format("n{}", it), at(ms));
+  }
+};
+
+TEST(NodeRoster, ASilentNodeIsTakenOffTheListByOneOfTheOthers) {
+  NodeRoster second{"n1"};
+  roster.read(entries(5), at(0));
+  second.read(entries(5), at(0));
+  talk(roster, 1, 3);
+  talk(second, 2, 3);
+  second.heard("n0", at(2 * Gone));
+  const auto gone = roster.gone(at(2 * Gone));
+  LONGS_EQUAL(1, gone.size());
+  STRCMP_EQUAL("n4", gone[0].Name.c_str());
+  LONGS_EQUAL(7, gone[0].RowVersion);
+  LONGS_EQUAL(0, second.gone(at(2 * Gone)).size());
+}
+
+TEST(NodeRoster, ANodeThatHearsFewOthersTakesNobodyOff) {
+  roster.read(entries(6), at(0));
+  talk(roster, 1, 2);
+  LONGS_EQUAL(0, roster.gone(at(2 * Gone)).size());
+}
+
+TEST(NodeRoster, ARestartedNodeIsGivenItsTimeAnew) {
+  roster.read(entries(4), at(0));
+  talk(roster, 1, 2);
+  auto again = entries(4);
+  again[3].Incarnation = 2;
+  roster.read(again, at(Gone));
+  LONGS_EQUAL(0, roster.gone(at(Gone + 1)).size());
+  LONGS_EQUAL(1, roster.gone(at(2 * Gone)).size());
+}
+
+TEST(NodeRoster, ReadingTheListAgainKeepsWhatIsKnown) {
+  roster.read(entries(4), at(0));
+  talk(roster, 1, 2);
+  roster.read(entries(4), at(Gone - 1));
+  LONGS_EQUAL(1, roster.gone(at(Gone)).size());
+}
--- a/tests/lab/store_server.cpp
+++ b/tests/lab/store_server.cpp
@@ -16,6 +16,7 @@
 
 constexpr int StatusDone = 200;
 constexpr int StatusHistoryGone = 410;
+constexpr int StatusConflict = 412;
 constexpr int StatusUnavailable = 503;
 /// Longer than any bound on a call.
 constexpr auto SilenceTime = std::chrono::seconds(30);
@@ -117,7 +118,7 @@
                              nullptr, 10),
                std::atoi(parameter(request.Target, "wait_ms").c_str()), status);
   } else {
-    write(request.Body);
+    status = write(request.Body) ? StatusDone : StatusConflict;
     body = R"({"schema_version":1,"now_ms":1})";
   }
   if (Fault == StoreFault::None)
@@ -174,8 +175,21 @@
       .dump();
 }
 
-void StoreServer::write(const std::string &body) {
+bool StoreServer::holds(const json &condition) const {
+  const std::lock_guard lock(Guard);
+  const auto rows = Tables.find(condition.at("table").get<std::string>());
+  const uint64_t wanted = condition.at("schema_version");
+  if (rows == Tables.end())
+    return wanted == 0;
+  const auto row = rows->second.find(condition.at("key").get<std::string>());
+  return wanted == (row == rows->second.end() ? 0 : row->second.Version);
+}
+
+bool StoreServer::write(const std::string &body) {
   const json wanted = json::parse(body);
+  for (const json &it : wanted.at("expected_rev"))
+    if (!holds(it))
+      return false;
   for (const json &it : wanted.at("put")) {
     std::string value;
     const std::string encoded = it.at("value");
@@ -184,6 +198,7 @@
   }
   for (const json &it : wanted.at("delete"))
     remove(it.at("table"), it.at("key"));
+  return true;
 }
 
 } // namespace orioletally::lab
--- a/tests/lab/store_server.h
+++ b/tests/lab/store_server.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
@@ -17,7 +18,7 @@
 enum class StoreFault { None, Refuse, Silence, Reset };
 
 /// A stand-in for the users' store: rows with versions, reads, waits for
-/// changes and unconditional writes, by the published calls.
+/// changes and conditional writes, by the published calls.
 class StoreServer {
 public:
   StoreServer();
@@ -50,7 +51,10 @@
   std::string read(const std::string &table) const;
   std::string follow(const std::string &table, uint64_t since, int waitMs,
                      int &status);
-  void write(const std::string &body);
+  /// Whether a row has the version that \p condition names.
+  bool holds(const nlohmann::json &condition) const;
+  /// Carries out a transaction; false when a condition doesn't hold.
+  bool write(const std::string &body);
   void change(Change made);
 
   mutable std::mutex Guard;
--- a/tests/platform/test_relay.cpp
+++ b/tests/platform/test_relay.cpp
@@ -430,6 +430,41 @@
   LONGS_EQUAL(0, fixture.Process.waitExit(std::chrono::seconds(8)));
 }
 
+TEST(Relay, ANodeTakesItselfOffTheListWhenItEnds) {
+  StandInBackend backend(scripts::answer("hello"));
+  fixture.list("i-1", "plain", backend.address());
+  CHECK(fixture.start(1));
+  CHECK(within(2'000, [&] {
+    return !fixture.Store.value("entry-nodes", "n1").empty();
+  }));
+  fixture.Process.signal(SIGTERM);
+  const auto forgotten =
+      fixture.Process.waitEvent("node_forgotten", std::chrono::seconds(2));
+  CHECK(forgotten.has_value());
+  CHECK((*forgotten)["removed"].get<bool>());
+  STRCMP_EQUAL("", fixture.Store.value("entry-nodes", "n1").c_str());
+  LONGS_EQUAL(0, fixture.Process.waitExit(std::chrono::seconds(8)));
+  STRCMP_EQUAL("", fixture.Store.value("entry-nodes", "n1").c_str());
+}
+
+TEST(Relay, ARowThatWasWrittenAnewIsLeft) {
+  StandInBackend backend(scripts::answer("hello"));
+  fixture.list("i-1", "plain", backend.address());
+  CHECK(fixture.start(1));
+  CHECK(within(2'000, [&] {
+    return !fixture.Store.value("entry-nodes", "n1").empty();
+  }));
+  // The next start of the same VM has registered itself already.
+  const std::string next = R"({"peer_address":"127.0.0.1:1","incarnation":9})";
+  fixture.Store.put("entry-nodes", "n1", next);
+  fixture.Process.signal(SIGTERM);
+  const auto forgotten =
+      fixture.Process.waitEvent("node_forgotten", std::chrono::seconds(2));
+  CHECK(forgotten.has_value());
+  CHECK_FALSE((*forgotten)["removed"].get<bool>());
+  STRCMP_EQUAL(next.c_str(), fixture.Store.value("entry-nodes", "n1").c_str());
+}
+
 TEST(Relay, IdleConnectionsAreClosedOnceTheBalancerHasTurnedAway) {
   StandInBackend backend(scripts::answer("hello"));
   StandInBackend engine(scripts::stream(1, 50, 100));
