Let moves that nobody took lapse

Cause: a failure of one backend server allows as many retries as it holds requests. Retries draw on the saved ones first, so that moves which weren't needed were kept for ever and added up, failure by failure, until the bound on retries against a failing fleet was none.

Change: a move is good for 60 s, the longest stall bound of a profile.

Ruled out: keeping the largest grant only (two engines that fail at once would have one's requests left behind: NothingMoreIsMovedOnceMostBackendsFail).

Conclusion: the bound is tighter than before, nothing else changes.

--- a/core/limits/retry_budget.cpp
+++ b/core/limits/retry_budget.cpp
@@ -9,14 +9,27 @@
 
 void RetryBudget::succeeded() { Balance = std::min(Reserve, Balance + Share); }
 
-bool RetryBudget::tryTake() {
+void RetryBudget::allowMoves(int64_t n, absl::Time now) {
+  forget(now);
+  if (n > 0)
+    Moves.emplace_back(now + MovesFor, n);
+}
+
+void RetryBudget::forget(absl::Time now) {
+  while (!Moves.empty() &&
+         (Moves.front().first <= now || Moves.front().second == 0))
+    Moves.pop_front();
+}
+
+bool RetryBudget::tryTake(absl::Time now) {
   if (Balance >= 1.0) {
     Balance -= 1.0;
     return true;
   }
-  if (Moves == 0)
+  forget(now);
+  if (Moves.empty())
     return false;
-  --Moves;
+  --Moves.front().second;
   return true;
 }
 
--- a/core/limits/retry_budget.h
+++ b/core/limits/retry_budget.h
@@ -1,7 +1,10 @@
 #ifndef ORIOLETALLY_CORE_LIMITS_RETRY_BUDGET_H
 #define ORIOLETALLY_CORE_LIMITS_RETRY_BUDGET_H
 
+#include <absl/time/time.h>
 #include <cstdint>
+#include <deque>
+#include <utility>
 
 namespace orioletally::core::limits {
 
@@ -19,18 +22,26 @@
   /// Earns for one request that ended with a whole answer.
   void succeeded();
 
-  /// Allows \p n retries more: requests that one backend server holds while
-  /// most others work.
-  void allowMoves(int64_t n) { Moves += n; }
+  /// The longest stall bound of a profile: a request that is held longer has
+  /// been given up.
+  static constexpr absl::Duration MovesFor = absl::Seconds(60);
+
+  /// Allows \p n retries more, for MovesFor: requests that one backend server
+  /// holds while most others work.
+  void allowMoves(int64_t n, absl::Time now);
 
   /// Takes one retry from the budget; false when it is spent.
-  bool tryTake();
+  bool tryTake(absl::Time now);
 
 private:
+  /// Drops moves that were made or have lapsed.
+  void forget(absl::Time now);
+
   double Share;
   double Reserve;
   double Balance;
-  int64_t Moves = 0;
+  /// Moves that are left, by the time until which they may be made.
+  std::deque<std::pair<absl::Time, int64_t>> Moves;
 };
 
 } // namespace orioletally::core::limits
--- a/core/routing/fleet_router.cpp
+++ b/core/routing/fleet_router.cpp
@@ -75,7 +75,7 @@
   const auto candidates = usable(fitting, query.Exclude, now);
   if (candidates.empty())
     return busy(fitting, now);
-  if (query.AttemptsMade > 0 && !Budget.tryTake())
+  if (query.AttemptsMade > 0 && !Budget.tryTake(now))
     return RouteDenied{RouteRefusal::BudgetSpent, NoBackendRetryMs};
 
   const PolicyContext context{query, Prefixes, Random, now};
@@ -111,7 +111,7 @@
   const auto candidates = usable(known, exclude, now);
   if (candidates.empty())
     return busy(known, now);
-  if (attemptsMade > 0 && !Budget.tryTake())
+  if (attemptsMade > 0 && !Budget.tryTake(now))
     return RouteDenied{RouteRefusal::BudgetSpent, NoBackendRetryMs};
   const auto it = absl::c_min_element(
       candidates, [](const BackendState *one, const BackendState *two) {
@@ -134,7 +134,7 @@
 }
 
 void FleetRouter::failed(const std::string &backend, absl::Time now) {
-  Budget.allowMoves(movable(backend, now));
+  Budget.allowMoves(movable(backend, now), now);
   Registry.markFailed(backend, now);
 }
 
--- a/tests/core/test_routing.cpp
+++ b/tests/core/test_routing.cpp
@@ -127,6 +127,21 @@
   STRCMP_EQUAL("budget_spent", choose(at(6)).c_str());
 }
 
+TEST(FleetRouter, MovesThatNobodyTookLapse) {
+  router.registry().replaceList(
+      {engineVm("a"), engineVm("b"), engineVm("c"), engineVm("d")}, at(0));
+  for (int n = 0; n < 60; ++n)
+    choose(at(0));
+  query.AttemptsMade = 1;
+  query.Exclude = {"a"};
+  const int reserve = static_cast<int>(RouterSettings{}.RetryReserve);
+  for (int n = 0; n < reserve; ++n)
+    choose(at(1));
+  router.failed("a", at(2));
+  // What engine a held has come back by then, or never will.
+  STRCMP_EQUAL("budget_spent", choose(at(62'003)).c_str());
+}
+
 TEST(FleetRouter, NothingMoreIsMovedOnceMostBackendsFail) {
   router.registry().replaceList(
       {engineVm("a"), engineVm("b"), engineVm("c"), engineVm("d")}, at(0));
