Heed what answers say of their backend server, and bound those without end

EventStream kept an event without end for as long as it came and searched it from its beginning at each read; the parser's buffer and the number of interim answers had no bound.

An event, a held answer and the read-ahead have bounds (settings calls.max_event_bytes, calls.max_answer_bytes), interim answers a number.

Ruled out: taking the pause as a loss (a good answer to another call would lift it); telling pauses to other nodes (each node has its own).

--- a/core/fleet/backend_health.cpp
+++ b/core/fleet/backend_health.cpp
@@ -18,6 +18,9 @@
 constexpr absl::Duration TrialBound = absl::Milliseconds(1000);
 /// Losses after which the closed time stops doubling.
 constexpr int MaxDoublings = 3;
+/// Longest pause that is believed: a backend server that needs longer is
+/// replaced, and a mistyped figure mustn't take one out for a day.
+constexpr absl::Duration LongestPause = absl::Minutes(10);
 
 } // namespace
 
@@ -27,6 +30,8 @@
     FailureShare += FailureWeight * ((isFailure ? 1.0 : 0.0) - FailureShare);
   if (sign != HealthSign::Lost) {
     LossesInARow = 0;
+    IsReturning =
+        IsReturning && (sign == HealthSign::Full || now < PausedUntil);
     ClosedUntil = absl::InfinitePast();
     return;
   }
@@ -45,10 +50,17 @@
   Pace += PaceWeight * (ratio - Pace);
 }
 
-bool BackendHealth::isOpen(absl::Time now) const { return now >= ClosedUntil; }
+void BackendHealth::pause(absl::Duration time, absl::Time now) {
+  PausedUntil = std::max(PausedUntil, now + std::min(time, LongestPause));
+  IsReturning = true;
+}
+
+bool BackendHealth::isOpen(absl::Time now) const {
+  return now >= ClosedUntil && now >= PausedUntil;
+}
 
 void BackendHealth::sent(absl::Time now) {
-  if (LossesInARow > 0)
+  if (LossesInARow > 0 || IsReturning)
     ClosedUntil = std::max(ClosedUntil, now + TrialBound);
 }
 
--- a/core/fleet/backend_health.h
+++ b/core/fleet/backend_health.h
@@ -21,7 +21,9 @@
 /// answers to health probes can be wrong either way and aren't free.
 ///
 /// Load answered: engines that stop, turn slow or fail a share of their
-/// requests while they look idle, and so would attract all new work.
+/// requests while they look idle, and so would attract all new work; and
+/// backend servers that are so full that turning calls away costs them more
+/// than they can spare.
 class BackendHealth {
 public:
   void observe(HealthSign sign, absl::Time now);
@@ -29,8 +31,18 @@
   /// First token or answer came after \p seen where \p predicted was expected.
   void observePace(absl::Duration seen, absl::Duration predicted);
 
-  /// Whether new work may be sent: always, but for the time after a loss.
-  /// After that time one call at a time is let through until one succeeds.
+  /// The backend server wants nothing more from this node for \p time.
+  void pause(absl::Duration time, absl::Time now);
+
+  /// Whether nothing at all may be sent, not even a trial.
+  bool isPaused(absl::Time now) const { return now < PausedUntil; }
+
+  /// When the pause that was asked for ends.
+  absl::Time pausedUntil() const { return PausedUntil; }
+
+  /// Whether new work may be sent: always, but for the time after a loss and
+  /// for a pause. After that time one call at a time is let through until one
+  /// succeeds.
   bool isOpen(absl::Time now) const;
 
   /// A call is about to be sent; after a loss it is the trial.
@@ -49,6 +61,9 @@
   double FailureShare = 0;
   double Pace = 1;
   int LossesInARow = 0;
+  /// A pause was asked for and nothing has been executed since its end.
+  bool IsReturning = false;
+  absl::Time PausedUntil = absl::InfinitePast();
   absl::Time ClosedUntil = absl::InfinitePast();
 };
 
--- a/core/relay/call_head.h
+++ b/core/relay/call_head.h
@@ -78,6 +78,11 @@
   bool NotExecuted = false;
   /// Id of the backend server that a failure is due to, when another's.
   std::string FaultyBackend;
+  /// The backend server takes no new work.
+  bool Leaving = false;
+  /// How long the backend server wants nothing more from this node; only
+  /// answers that turn the call away mean it so.
+  std::optional<absl::Duration> PauseFor;
 };
 
 /// Translates between headers on the wire and what they mean.
--- a/core/relay/dispatcher.cpp
+++ b/core/relay/dispatcher.cpp
@@ -65,6 +65,17 @@
       .build();
 }
 
+RequestError allPaused(const std::string &service, absl::Duration comeBackIn) {
+  return errors::RequestErrorBuilder(
+             ErrorCode::Overloaded,
+             fmt::format("all backend servers of service {} asked for a pause",
+                         service))
+      .rule("pause asked for by backend servers")
+      .retryAfterMs(absl::ToInt64Milliseconds(
+          absl::Ceil(comeBackIn, absl::Milliseconds(1))))
+      .build();
+}
+
 RequestError tooBusy(const std::string &service, absl::Duration comeBackIn) {
   const absl::Duration in =
       std::clamp(comeBackIn, LeastComeBack, LongestComeBack);
@@ -151,6 +162,9 @@
     return std::find(demand.Tried.begin(), demand.Tried.end(), it->Entry.Id) !=
            demand.Tried.end();
   });
+  std::erase_if(untried, [&](const std::shared_ptr<BackendServer> &it) {
+    return it->Health.isPaused(now);
+  });
   std::vector<std::shared_ptr<BackendServer>> result;
   for (const std::shared_ptr<BackendServer> &it : untried)
     if (it->Health.isOpen(now))
@@ -167,6 +181,31 @@
   return result;
 }
 
+absl::Time Dispatcher::pauseEnd(const std::string &service,
+                                absl::Time now) const {
+  absl::Time first = absl::InfiniteFuture();
+  for (const std::shared_ptr<BackendServer> &it :
+       Directory.usable(service, now)) {
+    if (!it->Health.isPaused(now))
+      return now;
+    first = std::min(first, it->Health.pausedUntil());
+  }
+  return first == absl::InfiniteFuture() ? now : first;
+}
+
+absl::Duration Dispatcher::comeBackIn(const std::string &service,
+                                      absl::Duration usual,
+                                      absl::Time now) const {
+  return std::max(usual, pauseEnd(service, now) - now);
+}
+
+RequestError Dispatcher::noneLeft(const std::string &service,
+                                  absl::Time now) const {
+  const absl::Time end = pauseEnd(service, now);
+  return end > now ? allPaused(service, end - now)
+                   : noBackend(service, UsualComeBack);
+}
+
 absl::Duration Dispatcher::handicap(const BackendServer &server) const {
   const absl::Duration way = server.Entry.Zone == Settings.Zone
                                  ? absl::ZeroDuration()
@@ -181,7 +220,7 @@
   const std::vector<std::shared_ptr<BackendServer>> open =
       candidates(demand, service.Name, now);
   if (open.empty())
-    return noBackend(service.Name, UsualComeBack);
+    return noneLeft(service.Name, now);
   std::vector<engines::EngineCandidate> engineViews;
   for (const std::shared_ptr<BackendServer> &it : open) {
     it->Load.advance(now, speed);
@@ -238,7 +277,7 @@
     best = &it;
   }
   if (best == nullptr)
-    return noBackend(service, UsualComeBack);
+    return noneLeft(service, now);
   Dispatch result;
   result.Server = *best;
   result.Config = demand.Config;
--- a/core/relay/dispatcher.h
+++ b/core/relay/dispatcher.h
@@ -122,6 +122,19 @@
     dispatch.Server->HeardAt = now;
   }
 
+  /// The backend server turned the attempt away and wants nothing more from
+  /// this node for \p time.
+  static void pauseAsked(Dispatch &dispatch, absl::Duration time,
+                         absl::Time now) {
+    dispatch.Server->Health.pause(time, now);
+  }
+
+  /// When a caller whose call for \p service was turned away should come back:
+  /// \p usual, or once the first backend server wants work again, where all
+  /// have asked for a pause.
+  absl::Duration comeBackIn(const std::string &service, absl::Duration usual,
+                            absl::Time now) const;
+
   /// The attempt is over.
   void ended(Dispatch &dispatch, AttemptEnd end, absl::Time now);
 
@@ -141,6 +154,11 @@
   std::vector<std::shared_ptr<fleet::BackendServer>>
   candidates(const CallDemand &demand, const std::string &service,
              absl::Time now) const;
+  /// When the first backend server of \p service wants work again; \p now
+  /// unless all have asked for a pause.
+  absl::Time pauseEnd(const std::string &service, absl::Time now) const;
+  errors::RequestError noneLeft(const std::string &service,
+                                absl::Time now) const;
   const std::string &pickService(const CallDemand &demand, absl::Time now);
   limits::WindowBudget &budget(const std::string &service);
   void tellPart(const Dispatch &dispatch, const fleet::BackendServer &server,
--- a/core/relay/event_stream.cpp
+++ b/core/relay/event_stream.cpp
@@ -1,5 +1,6 @@
 #include "core/relay/event_stream.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -9,16 +10,22 @@
 
 constexpr std::string_view IdField = "id:";
 
+/// Bytes of the longest mark that ends an event, less one: how much of a mark
+/// may stand at the end of what was searched.
+constexpr size_t MarkOverlap = 3;
+
 /// Returns the length of the first whole event of \p text with the empty line
-/// that ends it; npos when there is none.
-size_t eventLength(std::string_view text) {
-  const size_t lf = text.find("\n\n");
-  const size_t crlf = text.find("\r\n\r\n");
-  if (lf == std::string_view::npos && crlf == std::string_view::npos)
-    return std::string_view::npos;
-  if (crlf == std::string_view::npos || lf < crlf)
-    return lf + 2;
-  return crlf + 4;
+/// that ends it, searched from \p from on; npos when there is none.
+size_t eventLength(std::string_view text, size_t from) {
+  for (size_t n = text.find('\n', from); n != std::string_view::npos;
+       n = text.find('\n', n + 1)) {
+    const std::string_view rest = text.substr(n + 1);
+    if (rest.starts_with('\n'))
+      return n + 2;
+    if (n > 0 && text[n - 1] == '\r' && rest.starts_with("\r\n"))
+      return n + 3;
+  }
+  return std::string_view::npos;
 }
 
 std::optional<int64_t> eventId(std::string_view event) {
@@ -42,26 +49,41 @@
 
 } // namespace
 
-EventStream::EventStream(std::optional<int64_t> resumeAfter)
-    : LastId(resumeAfter) {}
+EventStream::EventStream(std::optional<int64_t> resumeAfter,
+                         size_t maxEventBytes)
+    : MaxEventBytes(maxEventBytes), LastId(resumeAfter) {}
 
 std::string EventStream::push(std::string_view bytes) {
   std::string out;
+  if (Overlong)
+    return out;
   Partial.append(bytes);
   std::string_view rest = Partial;
-  size_t n = eventLength(rest);
+  size_t n = eventLength(rest, Searched);
   while (n != std::string_view::npos) {
     take(rest.substr(0, n), out);
     rest.remove_prefix(n);
-    n = eventLength(rest);
+    n = eventLength(rest, 0);
   }
   Partial.erase(0, Partial.size() - rest.size());
+  Searched = Partial.size() - std::min(Partial.size(), MarkOverlap);
+  if (Partial.size() > MaxEventBytes) {
+    Overlong = true;
+    Partial.clear();
+  }
   return out;
 }
 
-void EventStream::restart() { Partial.clear(); }
+void EventStream::restart() {
+  Partial.clear();
+  Searched = 0;
+  Overlong = false;
+}
 
-std::string EventStream::takeRest() { return std::exchange(Partial, {}); }
+std::string EventStream::takeRest() {
+  Searched = 0;
+  return std::exchange(Partial, {});
+}
 
 void EventStream::take(std::string_view event, std::string &out) {
   const std::optional<int64_t> id = eventId(event);
--- a/core/relay/event_stream.h
+++ b/core/relay/event_stream.h
@@ -13,8 +13,13 @@
 /// drops events that were delivered before.
 class EventStream {
 public:
-  /// \p resumeAfter is the id of the last event that the caller has.
-  explicit EventStream(std::optional<int64_t> resumeAfter = std::nullopt);
+  /// Bound on an unfinished event in bytes, where none is given.
+  static constexpr size_t UsualMaxEventBytes = 256 << 10;
+
+  /// \p resumeAfter is the id of the last event that the caller has; an
+  /// unfinished event may grow to \p maxEventBytes.
+  explicit EventStream(std::optional<int64_t> resumeAfter = std::nullopt,
+                       size_t maxEventBytes = UsualMaxEventBytes);
 
   /// Takes in \p bytes and returns the whole events that they complete.
   std::string push(std::string_view bytes);
@@ -26,6 +31,10 @@
   /// Id of the last event that was returned or that the caller had before.
   std::optional<int64_t> lastId() const { return LastId; }
 
+  /// Whether an event has grown beyond its bound without an end. What push()
+  /// is given from then on is dropped.
+  bool isOverlong() const { return Overlong; }
+
   /// Whether bytes of an unfinished event are held.
   bool isInsideEvent() const { return !Partial.empty(); }
 
@@ -36,6 +45,10 @@
   void take(std::string_view event, std::string &out);
 
   std::string Partial;
+  /// Bytes of Partial in which no end of an event begins.
+  size_t Searched = 0;
+  size_t MaxEventBytes;
+  bool Overlong = false;
   std::optional<int64_t> LastId;
 };
 
--- a/drivers/relay/backend_channel.h
+++ b/drivers/relay/backend_channel.h
@@ -11,13 +11,18 @@
 
 namespace orioletally::drivers::relay {
 
+/// Bound on what is read ahead of an answer's parser: its longest head and
+/// one read more.
+constexpr size_t MaxBufferBytes = 128 << 10;
+
 /// A connection to a backend server, which carries one call at a time.
 struct BackendChannel {
   explicit BackendChannel(asio::io_context &loop) : Socket(loop) {}
 
   std::string Address;
   asio::ip::tcp::socket Socket;
-  beast::flat_buffer Buffer;
+  /// Holds at most a head or a chunk's header; a longer one is an error.
+  beast::flat_buffer Buffer{MaxBufferBytes};
   /// Whether it has carried a call before.
   bool Reused = false;
   /// When it is too old to be used again; the other end closes it about then.
--- a/drivers/relay/call_runner.cpp
+++ b/drivers/relay/call_runner.cpp
@@ -33,10 +33,11 @@
 constexpr int MaxUnsent = 3;
 /// A caller that takes nothing of its answer for this long is gone.
 constexpr absl::Duration CallerWriteBound = absl::Seconds(5);
-/// Bound on answers that are held whole before they are passed on.
-constexpr size_t MaxHeldBytes = 8 << 20;
 constexpr uint32_t MaxAnswerHeaderBytes = 64 << 10;
+/// Interim answers (1xx) before the answer itself; a server sends one or two.
+constexpr int MaxInterimAnswers = 16;
 constexpr size_t ReadBufferBytes = 8 << 10;
+constexpr int StatusUnavailable = 503;
 /// Prompts up to this length go before longer ones at an engine that is full.
 constexpr int64_t ShortPromptTokens = 16384;
 constexpr int64_t ShortPriority = 3;
@@ -128,7 +129,8 @@
   }
   Progress.Deadline =
       ArrivedAt + std::min(Route->Timeout, Head.Wait.value_or(Route->Timeout));
-  Events = core::relay::EventStream(Head.ResumeAfter);
+  Events =
+      core::relay::EventStream(Head.ResumeAfter, Context.Bounds.MaxEventBytes);
   describeDemand();
   return true;
 }
@@ -199,7 +201,9 @@
       if (last == AttemptEnd::CallerGone)
         KeepCaller = false;
       else if (!Held.has_value())
-        refuse(core::relay::giveUpError(Progress, last, RefusedComeBack));
+        refuse(core::relay::giveUpError(
+            Progress, last,
+            Context.Calls.comeBackIn(service, RefusedComeBack, now)));
       co_return;
     }
   }
@@ -245,7 +249,7 @@
   Demand.Tried.push_back(dispatch.Server->Entry.Id);
   Context.Calls.ended(dispatch, end, now);
   if (end == AttemptEnd::WrongBackend)
-    Context.Calls.directory().markLeaving(dispatch.Server->Entry.Id);
+    markLeaving(*dispatch.Server, "other backend server at the address");
   Context.Metrics.attemptEnded(core::relay::attemptEndName(end));
   Attempts.push_back({dispatch.Server->Entry.Id, end, now - startedAt,
                       dispatch.PredictedFirstToken, dispatch.Helpers.size()});
@@ -349,8 +353,34 @@
   return message;
 }
 
+void CallRunner::markLeaving(const core::fleet::BackendServer &server,
+                             std::string_view reason) {
+  if (!Context.Calls.directory().markLeaving(server.Entry.Id))
+    return;
+  log::write(log::Level::Info, "backend_leaving_by_answer",
+             {{"id", Head.AttemptId},
+              {"backend", server.Entry.Id},
+              {"row_version", server.Entry.RowVersion},
+              {"reason", reason}});
+  if (Context.TellLeaving)
+    Context.TellLeaving();
+}
+
+void CallRunner::noteSigns(const core::relay::AnswerHead &head, int status,
+                           Dispatch &dispatch) {
+  if (head.Leaving)
+    markLeaving(*dispatch.Server, "its own answer");
+  if (status != StatusUnavailable || !head.PauseFor.has_value())
+    return;
+  Context.Calls.pauseAsked(dispatch, *head.PauseFor, clock::steadyNow());
+  log::write(log::Level::Info, "backend_paused",
+             {{"id", Head.AttemptId},
+              {"backend", dispatch.Server->Entry.Id},
+              {"pause_ms", absl::ToInt64Milliseconds(*head.PauseFor)}});
+}
+
 asio::awaitable<AttemptEnd> CallRunner::readAnswer(Dispatch &dispatch) {
-  for (;;) {
+  for (int interim = 0; interim < MaxInterimAnswers;) {
     AnswerParser parser;
     parser.body_limit(boost::none);
     parser.header_limit(MaxAnswerHeaderBytes);
@@ -361,12 +391,15 @@
     if (ec)
       co_return isProtocolError(ec) ? AttemptEnd::Garbled : lostEnd(true);
     const auto status = static_cast<int>(parser.get().result_int());
-    if (status / 100 == 1)
+    if (status / 100 == 1) {
+      ++interim;
       continue;
+    }
     const core::relay::AnswerHead head =
         Context.Codec.decodeAnswer(headerViews(parser.get()));
     if (!head.AttemptId.empty() && head.AttemptId != Head.AttemptId)
       co_return AttemptEnd::Garbled;
+    noteSigns(head, status, dispatch);
     if (status == 421)
       co_return AttemptEnd::WrongBackend;
     if (head.NotExecuted) {
@@ -385,6 +418,7 @@
       co_return co_await relayStream(parser, dispatch);
     co_return co_await readPlain(parser, status >= 500);
   }
+  co_return AttemptEnd::Garbled;
 }
 
 asio::awaitable<AttemptEnd> CallRunner::readPlain(AnswerParser &parser,
@@ -399,7 +433,7 @@
     body.append(buf.data(), buf.size() - parser.get().body().size);
     if (ec && ec != bhttp::error::need_buffer)
       co_return isProtocolError(ec) ? AttemptEnd::Garbled : lostEnd(true);
-    if (body.size() > MaxHeldBytes)
+    if (body.size() > Context.Bounds.MaxAnswerBytes)
       co_return AttemptEnd::Garbled;
   }
   holdPlain(parser.get(), std::move(body));
@@ -458,6 +492,8 @@
       if (!co_await writeChunk(out))
         co_return Aborted.value_or(AttemptEnd::CallerGone);
     }
+    if (Events.isOverlong())
+      co_return AttemptEnd::Garbled;
     if (ec && ec != bhttp::error::need_buffer)
       co_return isProtocolError(ec) ? AttemptEnd::Garbled : lostEnd(true);
   }
--- a/drivers/relay/call_runner.h
+++ b/drivers/relay/call_runner.h
@@ -53,6 +53,11 @@
   asio::awaitable<bool> openChannel(const std::string &address);
   asio::awaitable<core::relay::AttemptEnd>
   readAnswer(core::relay::Dispatch &dispatch);
+  /// Takes in what an answer's head says of its backend server.
+  void noteSigns(const core::relay::AnswerHead &head, int status,
+                 core::relay::Dispatch &dispatch);
+  void markLeaving(const core::fleet::BackendServer &server,
+                   std::string_view reason);
   asio::awaitable<core::relay::AttemptEnd>
   readPlain(bhttp::response_parser<bhttp::buffer_body> &parser, bool isFailure);
   asio::awaitable<core::relay::AttemptEnd>
--- a/drivers/relay/relay_context.h
+++ b/drivers/relay/relay_context.h
@@ -4,11 +4,13 @@
 #include "core/charts/state_chart.h"
 #include "core/relay/call_head.h"
 #include "core/relay/dispatcher.h"
+#include "core/relay/event_stream.h"
 #include "drivers/loop/asio_use.h"
 #include "drivers/metrics/relay_metrics.h"
 #include "drivers/relay/backend_channel.h"
 
 #include <cstdint>
+#include <functional>
 
 namespace orioletally::drivers::relay {
 
@@ -16,6 +18,14 @@
 /// takes a node out after two questions a second apart.
 constexpr absl::Duration BalancerBound = absl::Milliseconds(2500);
 
+/// Bounds on the memory that one attempt's answer may take.
+struct AnswerBounds {
+  /// Answers that are held whole before they are passed on.
+  size_t MaxAnswerBytes = 8 << 20;
+  /// An event of a stream that hasn't come to its end.
+  size_t MaxEventBytes = core::relay::EventStream::UsualMaxEventBytes;
+};
+
 /// What all calls of a node share. Everything runs on one event loop.
 struct RelayContext {
   asio::io_context &Loop;
@@ -27,6 +37,9 @@
   /// SIGTERM came at this time.
   absl::Time DrainingSince = absl::InfiniteFuture();
   int64_t InProgress = 0;
+  AnswerBounds Bounds;
+  /// Tells the other nodes which backend servers are leaving.
+  std::function<void()> TellLeaving = nullptr;
 
   /// Whether a call that comes now might be cut off by the end of the process.
   bool isEnding(absl::Time now) const {
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -70,6 +70,15 @@
   return result;
 }
 
+drivers::relay::AnswerBounds answerBounds(const FieldValues &settings) {
+  drivers::relay::AnswerBounds result;
+  result.MaxAnswerBytes =
+      static_cast<size_t>(settings.integer("calls.max_answer_bytes"));
+  result.MaxEventBytes =
+      static_cast<size_t>(settings.integer("calls.max_event_bytes"));
+  return result;
+}
+
 drivers::http::HttpServerSettings statusSettings(const std::string &address) {
   drivers::http::HttpServerSettings result;
   result.Address = address;
@@ -118,8 +127,17 @@
       : Settings(values), Reread(std::move(reader)),
         CallChart(std::move(chart)),
         Calls(dispatcherSettings(values, incarnation)),
-        Context{Loop, Calls, Codec, Metrics, CallChart, {}}, View(Context),
-        Self(selfEntry(values, incarnation)),
+        Context{Loop,
+                Calls,
+                Codec,
+                Metrics,
+                CallChart,
+                {},
+                absl::InfiniteFuture(),
+                0,
+                answerBounds(values),
+                [this] { Peers.tellFleet(); }},
+        View(Context), Self(selfEntry(values, incarnation)),
         Source(Loop, storeSettings(values, Self)),
         Peers(Loop, Self, peerHandlers()), Server(Context),
         ReadyServer(Loop, readySettings(values)),
--- a/main/entry_settings.cpp
+++ b/main/entry_settings.cpp
@@ -15,7 +15,7 @@
 using core::fields::FieldType;
 using core::fields::FieldValues;
 
-constexpr std::array<FieldSpec, 16> Specs = {{
+constexpr std::array<FieldSpec, 18> Specs = {{
     {"node.name", FieldType::Text, "", "", 1, 128, "",
      "Name of this VM, unlike that of any other."},
     {"node.zone", FieldType::Text, "", "", 1, 64, "",
@@ -28,6 +28,11 @@
      "Time between SIGTERM and SIGKILL."},
     {"calls.address", FieldType::Text, "", "", 9, 64, "",
      "ip:port that callers' connections come to."},
+    {"calls.max_answer_bytes", FieldType::Integer, "bytes", "8388608", 4096,
+     1073741824, "",
+     "Bound on a plain answer, which is held whole until it is complete."},
+    {"calls.max_event_bytes", FieldType::Integer, "bytes", "262144", 1024,
+     16777216, "", "Bound on one event of a streamed answer."},
     {"ready.address", FieldType::Text, "", "", 9, 64, "",
      "ip:port that is asked whether this node takes new connections."},
     {"metrics.port", FieldType::Integer, "", "9464", 0, 65535, "",
--- a/tests/core/test_backend_health.cpp
+++ b/tests/core/test_backend_health.cpp
@@ -48,3 +48,36 @@
     health.observePace(absl::Milliseconds(50), absl::Milliseconds(100));
   CHECK(health.pace() < 1.1);
 }
+
+TEST(BackendHealth, APauseHoldsWhateverOtherCallsShow) {
+  health.pause(absl::Seconds(3), at(0));
+  CHECK(health.isPaused(at(2'999)));
+  health.observe(HealthSign::Good, at(1'000));
+  health.observe(HealthSign::Full, at(1'100));
+  CHECK(health.isPaused(at(2'999)));
+  CHECK_FALSE(health.isOpen(at(2'999)));
+  // A shorter one that is asked for later doesn't end it early.
+  health.pause(absl::Milliseconds(10), at(1'200));
+  CHECK(health.isPaused(at(2'999)));
+  CHECK(health.isOpen(at(3'000)));
+}
+
+TEST(BackendHealth, AfterAPauseOneTrialGoesFirst) {
+  health.pause(absl::Seconds(1), at(0));
+  health.sent(at(1'000));
+  CHECK_FALSE(health.isOpen(at(1'100)));
+  // Turned away again without a pause: still one at a time.
+  health.observe(HealthSign::Full, at(1'200));
+  CHECK(health.isOpen(at(1'200)));
+  health.sent(at(1'200));
+  CHECK_FALSE(health.isOpen(at(1'300)));
+  health.observe(HealthSign::Good, at(1'400));
+  health.sent(at(1'400));
+  CHECK(health.isOpen(at(1'400)));
+}
+
+TEST(BackendHealth, AnAbsurdPauseIsCutToTenMinutes) {
+  health.pause(absl::Hours(24 * 365), at(0));
+  CHECK(health.isPaused(at(599'999)));
+  CHECK_FALSE(health.isPaused(at(600'000)));
+}
--- a/tests/core/test_event_stream.cpp
+++ b/tests/core/test_event_stream.cpp
@@ -51,3 +51,38 @@
   STRCMP_EQUAL(": bye", stream.takeRest().c_str());
   CHECK_FALSE(stream.isInsideEvent());
 }
+
+TEST(EventStream, AnEventWithoutEndIsHeldToItsBound) {
+  EventStream stream(std::nullopt, 1'000);
+  const std::string more(100, 'x');
+  for (int n = 0; n < 10; ++n)
+    stream.push(more);
+  CHECK_FALSE(stream.isOverlong());
+  STRCMP_EQUAL("", stream.push("x").c_str());
+  CHECK(stream.isOverlong());
+  CHECK_FALSE(stream.isInsideEvent());
+  STRCMP_EQUAL("", stream.push("\n\nid: 7\n\n").c_str());
+  // Another backend server's bytes count anew.
+  stream.restart();
+  STRCMP_EQUAL(event(1).c_str(), stream.push(event(1)).c_str());
+}
+
+TEST(EventStream, ALongEventThatComesBitByBitIsSearchedOnce) {
+  // Searched from its beginning for each byte this takes minutes.
+  constexpr int Bytes = 4'000'000;
+  EventStream stream(std::nullopt, Bytes + 2);
+  for (int n = 0; n < Bytes; ++n)
+    stream.push("x");
+  LONGS_EQUAL(Bytes + 2, stream.push("\n\n").size());
+}
+
+TEST(EventStream, AnEndThatComesByteByByteIsSeen) {
+  for (const std::string end : {"\n\n", "\r\n\r\n"}) {
+    EventStream stream;
+    const std::string whole = "id: 1\r\ndata: x" + end;
+    std::string out;
+    for (const char c : whole)
+      out += stream.push({&c, 1});
+    STRCMP_EQUAL(whole.c_str(), out.c_str());
+  }
+}
--- a/tests/platform/test_codecs.cpp
+++ b/tests/platform/test_codecs.cpp
@@ -221,3 +221,26 @@
   STRCMP_EQUAL("/orioletally/rows-get?table=a%20b&part=&from=x%26y%01",
                readTarget("a b", "x&y").c_str());
 }
+
+TEST_GROUP(AnswerHeaders) {
+  HeaderCodec codec;
+
+  core::relay::AnswerHead decode(const char *name, const char *value) {
+    const core::relay::HeaderView line{name, value};
+    return codec.decodeAnswer({&line, 1});
+  }
+};
+
+TEST(AnswerHeaders, ABackendServerSaysThatItLeaves) {
+  CHECK(decode("server-leaving", " 1 ").Leaving);
+  CHECK_FALSE(decode("Server-Leaving", "0").Leaving);
+  CHECK_FALSE(decode("Server-Left", "1").Leaving);
+}
+
+TEST(AnswerHeaders, APauseIsInSecondsAndAnythingElseIsNone) {
+  CHECK(decode("Retry-After", "3").PauseFor == absl::Seconds(3));
+  CHECK(decode("retry-after", "0.25").PauseFor == absl::Milliseconds(250));
+  for (const char *text :
+       {"", "-1", "nan", "3s", "inf3", "Wed, 21 Oct 2026 07:28:00 GMT"})
+    CHECK_FALSE(decode("Retry-After", text).PauseFor.has_value());
+}
--- a/tests/platform/test_relay.cpp
+++ b/tests/platform/test_relay.cpp
@@ -22,6 +22,10 @@
 constexpr const char *NotExecuted =
     "HTTP/1.1 503 X\r\nX-Orioletally-Attempt-Id: {id}\r\n"
     "X-Orioletally-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+constexpr const char *AskedForAPause =
+    "HTTP/1.1 503 X\r\nX-Orioletally-Attempt-Id: {id}\r\n"
+    "X-Orioletally-Not-Executed: 1\r\nRetry-After: 1.5\r\n"
+    "Content-Length: 0\r\n\r\n";
 constexpr const char *ServerError =
     "HTTP/1.1 500 X\r\nX-Orioletally-Attempt-Id: {id}\r\n"
     "X-Orioletally-Response-Signature: bad\r\nContent-Length: 3\r\n\r\nerr";
@@ -354,6 +358,132 @@
   LONGS_EQUAL(before, leaving.attempts());
 }
 
+TEST(Relay, ABackendServerThatSaysThatItLeavesGetsNothingMore) {
+  const std::string leavingLine = "Server-Leaving: 1\r\n";
+  const std::string head = "X-Orioletally-Attempt-Id: {id}\r\n"
+                           "X-Orioletally-Response-Signature: s\r\n";
+  const std::vector<std::pair<std::string, std::string>> cases = {
+      {"/read/x", "HTTP/1.1 200 OK\r\n" + head + leavingLine +
+                      "Content-Length: 2\r\n\r\nhi"},
+      {"/read/x", "HTTP/1.1 500 X\r\n" + head + leavingLine +
+                      "Content-Length: 2\r\n\r\nno"},
+      {"/read/x", "HTTP/1.1 503 X\r\nX-Orioletally-Attempt-Id: {id}\r\n"
+                  "X-Orioletally-Not-Executed: 1\r\n" +
+                      leavingLine + "Content-Length: 0\r\n\r\n"},
+      {"/ask/x", "HTTP/1.1 200 OK\r\n" + head + leavingLine +
+                     "Transfer-Encoding: chunked\r\n\r\nd\r\nid: 1\ndata: "
+                     "x\n\r\n1\r\n\n\r\n0\r\n\r\n"}};
+  for (const auto &[path, text] : cases) {
+    RelayFixture own;
+    own.configure(1);
+    const std::string service = path == "/ask/x" ? "engine" : "plain";
+    StandInBackend leaving(scripts::bytes(text, false));
+    StandInBackend staying(service == "engine" ? scripts::stream(1, 2, 1)
+                                               : scripts::answer("staying"));
+    own.list("i-1", service, leaving.address());
+    CHECK(own.start(1));
+    own.call("GET", path);
+    CHECK_EQUAL_TEXT(1, leaving.attempts(), text.c_str());
+    own.list("i-2", service, staying.address());
+    CHECK(within(2'000, [&] { return own.call("GET", path).Status == 200; }));
+    for (int n = 0; n < 20; ++n)
+      LONGS_EQUAL(200, own.call("GET", path).Status);
+    CHECK_EQUAL_TEXT(1, leaving.attempts(), text.c_str());
+  }
+}
+
+TEST(Relay, ABackendServerThatAsksForAPauseIsLeftAloneForSoLong) {
+  StandInBackend tired(scripts::bytes(AskedForAPause, false));
+  StandInBackend other(scripts::answer("other"));
+  fixture.list("i-1", "plain", tired.address());
+  fixture.list("i-2", "plain", other.address());
+  CHECK(fixture.start(2));
+  for (int n = 0; n < 30 && tired.attempts() == 0; ++n)
+    fixture.call("GET", "/read/x");
+  LONGS_EQUAL(1, tired.attempts());
+  const auto asked = std::chrono::steady_clock::now();
+  while (std::chrono::steady_clock::now() - asked <
+         std::chrono::milliseconds(1'300)) {
+    STRCMP_EQUAL("other", fixture.call("GET", "/read/x").Body.c_str());
+    LONGS_EQUAL(1, tired.attempts());
+  }
+  // Afterwards it is tried again.
+  CHECK(within(3'000, [&] {
+    fixture.call("GET", "/read/x");
+    return tired.attempts() == 2;
+  }));
+}
+
+TEST(Relay, CallersHearWhenThePauseEndsThatAllBackendServersAskedFor) {
+  StandInBackend tired(scripts::bytes(AskedForAPause, false));
+  fixture.list("i-1", "plain", tired.address());
+  CHECK(fixture.start(1));
+  for (int n = 0; n < 10; ++n) {
+    const CallerAnswer answer = fixture.call("POST", "/write/x", "", "b");
+    LONGS_EQUAL(503, answer.Status);
+    const double comeBackIn = std::atof(answer.header("retry-after").c_str());
+    CHECK(comeBackIn > 1.0 && comeBackIn <= 1.5);
+  }
+  LONGS_EQUAL(1, tired.attempts());
+}
+
+TEST(Relay, AnswersWithoutEndEndTheirAttemptAndNothingElse) {
+  const std::string head = "X-Orioletally-Attempt-Id: {id}\r\n"
+                           "X-Orioletally-Response-Signature: s\r\n";
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\n" + head + "Transfer-Encoding: chunked\r\n\r\n";
+  struct Endless {
+    const char *Path;
+    std::string Start;
+    std::string More;
+  };
+  const std::vector<Endless> cases = {
+      {"/ask/x", "HTTP/1.1 200 OK\r\n" + head + "X-Long: ", "aaaaaaaaaaaaaaaa"},
+      {"/ask/x", "", "HTTP/1.1 103 X\r\nX-A: b\r\n\r\n"},
+      {"/ask/x", chunked + "1;x=", "aaaaaaaaaaaaaaaa"},
+      {"/ask/x", chunked, "10\r\ndata: aaaaaaaaaa\r\n"},
+      {"/ask/x", "HTTP/1.1 200 OK\r\n" + head + "\r\n", "data: aaaaaaaaaa"},
+      {"/read/x", "HTTP/1.1 200 OK\r\n" + head + "\r\n", "aaaaaaaaaaaaaaaa"},
+      {"/read/x", chunked, "10\r\naaaaaaaaaaaaaaaa\r\n"},
+      {"/read/x",
+       "HTTP/1.1 200 OK\r\n" + head + "Content-Length: 99999999999\r\n\r\n",
+       "aaaaaaaaaaaaaaaa"}};
+  for (const Endless &it : cases) {
+    RelayFixture own;
+    own.configure(1);
+    std::string many;
+    while (many.size() < 1 << 16)
+      many += it.More;
+    StandInBackend endless(
+        [&](const lab::RawRequest &request, const lab::RawConnection &out) {
+          std::string start = it.Start;
+          const size_t at = start.find("{id}");
+          if (at != std::string::npos)
+            start.replace(at, 4, request.header("x-orioletally-attempt-id"));
+          out.write(start);
+          while (!out.closesWithin(0))
+            out.write(many);
+          return false;
+        });
+    StandInBackend sound(scripts::answer("sound"));
+    const std::string path = it.Path;
+    own.list("i-1", path == "/ask/x" ? "engine" : "plain", endless.address());
+    CHECK(own.start(1));
+    const long before = own.Process.residentKilobytes();
+    CallerAnswer answer;
+    std::thread caller([&] { answer = own.call("GET", path); });
+    caller.join();
+    const std::string label = it.Path + it.Start + it.More;
+    CHECK_TEXT(answer.Status != 200 || !answer.IsWhole, label.c_str());
+    CHECK_TEXT(own.Process.residentKilobytes() - before < 24'000,
+               label.c_str());
+    own.list("i-2", "plain", sound.address());
+    own.list("i-1", "engine", endless.address(), "draining");
+    CHECK(within(2'000,
+                 [&] { return own.call("GET", "/read/x").Body == "sound"; }));
+  }
+}
+
 TEST(Relay, AnAddressInOtherHandsIsNotUsedAgain) {
   StandInBackend wrong(
       scripts::bytes("HTTP/1.1 421 X\r\nX-Orioletally-Instance-Id: i-9\r\n"
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <cstring>
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
@@ -85,6 +86,14 @@
   return Ended ? ExitCode : -1;
 }
 
+long ChildProcess::residentKilobytes() const {
+  std::ifstream in("/proc/" + std::to_string(Pid) + "/status");
+  for (std::string line; std::getline(in, line);)
+    if (line.starts_with("VmRSS:"))
+      return std::atol(line.c_str() + std::strlen("VmRSS:"));
+  return 0;
+}
+
 std::string ChildProcess::log() const {
   std::ifstream in(Folder + "/process.log");
   return {std::istreambuf_iterator<char>(in), {}};
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -32,6 +32,9 @@
   /// didn't end in time.
   int waitExit(std::chrono::milliseconds bound);
 
+  /// Memory that the process has in use; 0 when it isn't running.
+  long residentKilobytes() const;
+
   /// Everything that it has written so far.
   std::string log() const;
 
