Let nobody but a node speak as a node

Cause: the transport between nodes has CURVE and the entry role didn't use it. A stranger who sent one message to the peers' port could put a configuration of its own in force or mark a backend server as leaving.

Change: the nodes' secret lies in a table of our own at the store. The first node makes it by an insert that holds only if there is none (an unreadable one is replaced under its version), every node reads it before it opens the peers' port and keeps it in memory while the store is away. Connections that fail to show it are counted (metric orioletally_peer_strangers) and logged in one line a second at most.

Ruled out: a keyed digest on each message, which needs a nonce store against repeats and costs each message; CURVE costs each connection once and a message its cipher. A setting: operators would have to hand it out. Not done: rotation while nodes run; deleting the row and restarting all nodes makes a new key.

--- a/core/platform/fleet_source.h
+++ b/core/platform/fleet_source.h
@@ -2,6 +2,7 @@
 #define ORIOLETALLY_CORE_PLATFORM_FLEET_SOURCE_H
 
 #include "core/fleet/backend_entry.h"
+#include "core/platform/fleet_topic.h"
 #include "core/routes/routing_config.h"
 
 #include <cstdint>
@@ -12,12 +13,6 @@
 
 namespace orioletally::core::platform {
 
-/// What a FleetSource keeps its listener informed of.
-enum class FleetTopic { Config, Backends, Nodes };
-
-/// Returns the name of \p topic in logs and metrics.
-std::string_view fleetTopicName(FleetTopic topic);
-
 /// Another node of the fleet, as it registered itself.
 struct NodeEntry {
   std::string Name;
@@ -45,6 +40,9 @@
   /// All nodes that have registered themselves, this one included.
   virtual void nodesRead(const std::vector<NodeEntry> &nodes) = 0;
 
+  /// The key that nodes know each other by. Returns whether it is of use.
+  virtual bool peerKeyRead(const std::string &key) = 0;
+
   /// \p node was taken off the list, unless it has registered itself anew.
   virtual void nodeForgotten(const NodeEntry &node, bool isRemoved) = 0;
 
--- a/core/platform/fleet_topic.cpp
+++ b/core/platform/fleet_topic.cpp
@@ -1,12 +1,12 @@
-#include "core/platform/fleet_source.h"
+#include "core/platform/fleet_topic.h"
 
 #include <array>
 
 namespace orioletally::core::platform {
 
 namespace {
-constexpr std::array<std::string_view, 3> TopicNames = {"config", "backends",
-                                                        "nodes"};
+constexpr std::array<std::string_view, FleetTopics> TopicNames = {
+    "config", "backends", "nodes"};
 } // namespace
 
 std::string_view fleetTopicName(FleetTopic topic) {
--- /dev/null
+++ b/core/platform/fleet_topic.h
@@ -0,0 +1,19 @@
+#ifndef ORIOLETALLY_CORE_PLATFORM_FLEET_TOPIC_H
+#define ORIOLETALLY_CORE_PLATFORM_FLEET_TOPIC_H
+
+#include <cstddef>
+#include <string_view>
+
+namespace orioletally::core::platform {
+
+/// What a FleetSource keeps its listener informed of.
+enum class FleetTopic { Config, Backends, Nodes };
+
+constexpr size_t FleetTopics = 3;
+
+/// Returns the name of \p topic in logs and metrics.
+std::string_view fleetTopicName(FleetTopic topic);
+
+} // namespace orioletally::core::platform
+
+#endif
--- a/drivers/metrics/relay_metrics.cpp
+++ b/drivers/metrics/relay_metrics.cpp
@@ -70,7 +70,10 @@
       Nodes(gauge(Registry, "orioletally_nodes",
                   "Entry nodes heard from of late, this one included.")),
       LogLinesDropped(gauge(Registry, "orioletally_log_lines_dropped",
-                            "Log lines that were left out under load.")) {}
+                            "Log lines that were left out under load.")),
+      Strangers(gauge(Registry, "orioletally_peer_strangers",
+                      "Connections to the nodes' own port that were turned "
+                      "away for want of the key.")) {}
 
 void RelayMetrics::callEnded(std::string_view kind, int status,
                              absl::Duration time) {
@@ -121,6 +124,10 @@
   LogLinesDropped.Set(static_cast<double>(n));
 }
 
+void RelayMetrics::setStrangers(int64_t n) {
+  Strangers.Set(static_cast<double>(n));
+}
+
 std::string RelayMetrics::text() {
   return prometheus::TextSerializer().Serialize(Registry.Collect());
 }
--- a/drivers/metrics/relay_metrics.h
+++ b/drivers/metrics/relay_metrics.h
@@ -32,6 +32,7 @@
   void setBackends(int64_t n);
   void setNodes(int64_t n);
   void setLogLinesDropped(uint64_t n);
+  void setStrangers(int64_t n);
 
   /// Returns all figures in the Prometheus text format.
   std::string text();
@@ -51,6 +52,7 @@
   prometheus::Gauge &Backends;
   prometheus::Gauge &Nodes;
   prometheus::Gauge &LogLinesDropped;
+  prometheus::Gauge &Strangers;
 };
 
 } // namespace orioletally::drivers::metrics
--- a/drivers/peer/peer_transport.cpp
+++ b/drivers/peer/peer_transport.cpp
@@ -30,11 +30,29 @@
 constexpr auto LinkPollBound = std::chrono::milliseconds(1);
 constexpr absl::Duration IdleBound = absl::Seconds(60);
 constexpr const char *AuthenticatorEndpoint = "inproc://zeromq.zap.01";
+constexpr const char *MonitorEndpoint = "inproc://failed-handshakes";
+/// A wrong key for this node, or no encryption at all.
+constexpr int FailedHandshakes =
+    ZMQ_EVENT_HANDSHAKE_FAILED_NO_DETAIL | ZMQ_EVENT_HANDSHAKE_FAILED_PROTOCOL;
 /// Frames of a ZAP request, RFC 27, up to the CURVE credentials.
 constexpr size_t ZapRequestFrames = 7;
 
 } // namespace
 
+std::string makeSecretKey() {
+  std::array<char, KeyLength + 1> publicKey{};
+  std::array<char, KeyLength + 1> secretKey{};
+  if (zmq_curve_keypair(publicKey.data(), secretKey.data()) != 0)
+    return "";
+  return secretKey.data();
+}
+
+bool isSecretKey(const std::string &key) {
+  std::array<uint8_t, RawKeyLength> raw{};
+  return key.size() == KeyLength &&
+         zmq_z85_decode(raw.data(), key.c_str()) != nullptr;
+}
+
 PeerTransport::PeerTransport(const TransportSettings &wanted, Handler receive)
     : Settings(wanted), Receive(std::move(receive)),
       WakeFd(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {}
@@ -65,6 +83,13 @@
       Inbound.set(zmq::sockopt::curve_secretkey, Settings.SecretKey);
       Inbound.set(zmq::sockopt::zap_domain, "peers");
     }
+    if (!PublicKey.empty()) {
+      if (zmq_socket_monitor(Inbound.handle(), MonitorEndpoint,
+                             FailedHandshakes) != 0)
+        throw zmq::error_t();
+      Monitor = zmq::socket_t(Context, zmq::socket_type::pair);
+      Monitor.connect(MonitorEndpoint);
+    }
     const std::string port =
         Settings.Port == 0 ? "*" : std::to_string(Settings.Port);
     Inbound.bind(fmt::format("tcp://{}:{}", Settings.Address, port));
@@ -111,6 +136,8 @@
                                           {Inbound.handle(), 0, ZMQ_POLLIN, 0}};
     if (Authenticator)
       items.push_back({Authenticator.handle(), 0, ZMQ_POLLIN, 0});
+    if (Monitor)
+      items.push_back({Monitor.handle(), 0, ZMQ_POLLIN, 0});
     try {
       zmq::poll(items, pollBound());
       uint64_t ignored = 0;
@@ -118,6 +145,8 @@
           ::read(WakeFd, &ignored, sizeof(ignored));
       if (Authenticator)
         answerAuthentication();
+      if (Monitor)
+        countFailedHandshakes();
       receiveAll();
       sendQueued();
       closeIdle();
@@ -130,6 +159,8 @@
   Inbound.close();
   if (Authenticator)
     Authenticator.close();
+  if (Monitor)
+    Monitor.close();
 }
 
 std::chrono::milliseconds PeerTransport::pollBound() const {
@@ -221,6 +252,15 @@
   }
 }
 
+void PeerTransport::countFailedHandshakes() {
+  // An event has two frames: what happened, and at which address.
+  zmq::message_t frame;
+  while (Monitor.recv(frame, zmq::recv_flags::dontwait)) {
+    if (frame.more())
+      ++Counts.Strangers;
+  }
+}
+
 void PeerTransport::closeIdle() {
   const absl::Time now = clock::steadyNow();
   absl::erase_if(Outbounds, [&](const auto &it) {
--- a/drivers/peer/peer_transport.h
+++ b/drivers/peer/peer_transport.h
@@ -23,6 +23,13 @@
   std::string Reason;
 };
 
+/// Makes a secret key for nodes to share, 40 characters of Z85; empty when
+/// this ZeroMQ has no encryption.
+std::string makeSecretKey();
+
+/// Whether \p key is 40 characters of Z85.
+bool isSecretKey(const std::string &key);
+
 /// Parameters of a PeerTransport.
 struct TransportSettings {
   std::string Address = "127.0.0.1";
@@ -83,6 +90,8 @@
   void sendQueued();
   std::chrono::milliseconds pollBound() const;
   void answerAuthentication();
+  /// Counts the connections that failed before they named a key.
+  void countFailedHandshakes();
   void closeIdle();
   zmq::socket_t &outbound(const std::string &address);
 
@@ -95,6 +104,8 @@
   zmq::context_t Context;
   zmq::socket_t Inbound;
   zmq::socket_t Authenticator;
+  /// Tells of handshakes with Inbound that failed.
+  zmq::socket_t Monitor;
   absl::flat_hash_map<std::string, Outbound> Outbounds;
 
   std::mutex Guard;
--- a/drivers/relay/fleet_view.cpp
+++ b/drivers/relay/fleet_view.cpp
@@ -77,6 +77,10 @@
     TakeNodes(nodes);
 }
 
+bool FleetView::peerKeyRead(const std::string &key) {
+  return !TakePeerKey || TakePeerKey(key);
+}
+
 void FleetView::nodeForgotten(const core::platform::NodeEntry &node,
                               bool isRemoved) {
   log::write(log::Level::Info, "node_forgotten",
--- a/drivers/relay/fleet_view.h
+++ b/drivers/relay/fleet_view.h
@@ -28,12 +28,19 @@
     TakeNodes = std::move(handler);
   }
 
+  /// Called with the key that nodes know each other by; returns whether it is
+  /// of use.
+  void setPeerKey(std::function<bool(const std::string &)> handler) {
+    TakePeerKey = std::move(handler);
+  }
+
   void configRead(
       std::shared_ptr<const core::routes::RoutingConfig> config) override;
   void backendsRead(std::vector<core::fleet::BackendEntry> entries) override;
   void backendChanged(core::fleet::BackendEntry entry) override;
   void backendRemoved(const std::string &id) override;
   void nodesRead(const std::vector<core::platform::NodeEntry> &nodes) override;
+  bool peerKeyRead(const std::string &key) override;
   void nodeForgotten(const core::platform::NodeEntry &node,
                      bool isRemoved) override;
   void topicLost(core::platform::FleetTopic topic,
@@ -57,6 +64,7 @@
   RelayContext &Context;
   std::function<void()> Tell;
   std::function<void(const std::vector<core::platform::NodeEntry> &)> TakeNodes;
+  std::function<bool(const std::string &)> TakePeerKey;
   std::array<TopicState, 3> Topics;
 };
 
--- a/drivers/relay/peer_link.cpp
+++ b/drivers/relay/peer_link.cpp
@@ -27,8 +27,10 @@
 /// A node that says nothing for this long isn't told anything.
 constexpr absl::Duration SilentBound = absl::Seconds(8);
 
-peer::TransportSettings transportSettings(const std::string &address) {
+peer::TransportSettings transportSettings(const std::string &address,
+                                          const std::string &key) {
   peer::TransportSettings settings;
+  settings.SecretKey = key;
   const size_t colon = address.rfind(':');
   settings.Address = address.substr(0, colon);
   settings.Port = colon == std::string::npos
@@ -81,16 +83,15 @@
 PeerLink::PeerLink(asio::io_context &loop, NodeEntry self,
                    PeerLinkHandlers handlers)
     : Loop(loop), Self(std::move(self)), Handlers(std::move(handlers)),
-      Transport(transportSettings(Self.PeerAddress),
-                [this](std::string_view bytes) {
-                  asio::post(Loop, [this, copy = std::string(bytes)] {
-                    receive(copy);
-                  });
-                }),
       Roster(Self.Name), Flush(loop), Beat(loop) {}
 
-leaf::result<void> PeerLink::start() {
-  BOOST_LEAF_CHECK(Transport.start());
+leaf::result<void> PeerLink::start(const std::string &key) {
+  auto transport = std::make_unique<peer::PeerTransport>(
+      transportSettings(Self.PeerAddress, key), [this](std::string_view bytes) {
+        asio::post(Loop, [this, copy = std::string(bytes)] { receive(copy); });
+      });
+  BOOST_LEAF_CHECK(transport->start());
+  Transport = std::move(transport);
   asio::co_spawn(Loop, beat(), asio::detached);
   return {};
 }
@@ -99,7 +100,13 @@
   Stopping = true;
   Flush.cancel();
   Beat.cancel();
-  Transport.stop();
+  if (Transport != nullptr)
+    Transport->stop();
+}
+
+void PeerLink::send(const std::string &address, std::string bytes) {
+  if (Transport != nullptr)
+    Transport->send(address, std::move(bytes));
 }
 
 void PeerLink::tell(const PromptNews &news) {
@@ -164,7 +171,7 @@
   const absl::Time now = clock::steadyNow();
   for (const auto &[name, peer] : Peers)
     if (now - peer.KnownAt < SilentBound)
-      Transport.send(peer.Address, bytes);
+      send(peer.Address, bytes);
 }
 
 asio::awaitable<void> PeerLink::beat() {
@@ -189,8 +196,8 @@
   if (message.incarnation() < peer.Incarnation)
     return;
   Roster.heard(message.node(), now);
-  const bool isNew = message.incarnation() != peer.Incarnation;
-  peer = {message.peer_address(), message.incarnation(), now};
+  const bool isNew = !peer.IsHeard || message.incarnation() != peer.Incarnation;
+  peer = {message.peer_address(), message.incarnation(), now, true};
   if (isNew)
     log::write(log::Level::Info, "peer_found",
                {{"peer", message.node()},
@@ -209,7 +216,7 @@
   reply.set_wants_config(message.config_version() > version);
   if (reply.config().empty() && !reply.wants_config())
     return;
-  Transport.send(message.peer_address(), reply.SerializeAsString());
+  send(message.peer_address(), reply.SerializeAsString());
 }
 
 } // namespace orioletally::drivers::relay
--- a/drivers/relay/peer_link.h
+++ b/drivers/relay/peer_link.h
@@ -11,6 +11,7 @@
 #include <boost/leaf.hpp>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -37,8 +38,9 @@
   PeerLink(asio::io_context &loop, core::platform::NodeEntry self,
            PeerLinkHandlers handlers);
 
-  /// Binds the address and begins to talk.
-  boost::leaf::result<void> start();
+  /// Binds the address and begins to talk to those that know \p key, 40
+  /// characters of Z85, too. Fails with a drivers::peer::TransportError.
+  boost::leaf::result<void> start(const std::string &key);
   void stop();
 
   /// Tells the others of \p news soon.
@@ -56,6 +58,11 @@
     return Roster.gone(now);
   }
 
+  /// Connections of strangers that were turned away.
+  uint64_t strangers() const {
+    return Transport == nullptr ? 0 : Transport->counts().Strangers.load();
+  }
+
   /// Nodes heard of lately, this one included.
   size_t nodes(absl::Time now) const;
 
@@ -64,9 +71,11 @@
     std::string Address;
     uint64_t Incarnation = 0;
     absl::Time KnownAt;
+    bool IsHeard = false;
   };
 
   void receive(const std::string &bytes);
+  void send(const std::string &address, std::string bytes);
   void flush();
   void flushWithin(absl::Duration time);
   asio::awaitable<void> beat();
@@ -74,7 +83,8 @@
   asio::io_context &Loop;
   core::platform::NodeEntry Self;
   PeerLinkHandlers Handlers;
-  peer::PeerTransport Transport;
+  /// Null until the key is known.
+  std::unique_ptr<peer::PeerTransport> Transport;
   std::map<std::string, Peer> Peers;
   core::fleet::NodeRoster Roster;
   std::vector<core::relay::PromptNews> Pending;
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -113,6 +113,7 @@
   platform::StoreSourceSettings result;
   result.Address = settings.text("store.address");
   result.Self = self;
+  result.MakePeerKey = drivers::peer::makeSecretKey;
   result.Wait = milliseconds(settings, "store.wait_ms");
   result.Bound = milliseconds(settings, "store.bound_ms");
   return result;
@@ -146,6 +147,7 @@
     Calls.setNews(
         [this](const core::relay::PromptNews &it) { Peers.tell(it); });
     View.setNews([this] { Peers.tellFleet(); });
+    View.setPeerKey([this](const std::string &key) { return joinPeers(key); });
     View.setNodes([this](const auto &nodes) {
       const absl::Time now = drivers::clock::steadyNow();
       Peers.nodesRead(nodes, now);
@@ -162,6 +164,30 @@
   Parts(const Parts &) = delete;
   Parts &operator=(const Parts &) = delete;
 
+  /// Begins to talk to the nodes that know \p key; returns whether it is of
+  /// use. Without the address for it the process ends, to be started again.
+  bool joinPeers(const std::string &key) {
+    if (!drivers::peer::isSecretKey(key))
+      return false;
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void> {
+          BOOST_LEAF_CHECK(Peers.start(key));
+          drivers::log::write(drivers::log::Level::Info, "peers_joined",
+                              {{"address", Self.PeerAddress}});
+          return {};
+        },
+        [&](const drivers::peer::TransportError &ec) { endFor(ec.Reason); },
+        [&] { endFor("unexpected failure"); });
+    return true;
+  }
+
+  void endFor(const std::string &reason) {
+    drivers::log::write(drivers::log::Level::Error, "peers_not_joined",
+                        {{"address", Self.PeerAddress}, {"reason", reason}});
+    IsWhole = false;
+    Loop.stop();
+  }
+
   drivers::relay::PeerLinkHandlers peerHandlers() {
     drivers::relay::PeerLinkHandlers handlers;
     handlers.TakePrompt = [this](const core::relay::PromptNews &it) {
@@ -220,9 +246,21 @@
       timer.expires_after(UpkeepEvery);
       co_await timer.async_wait(AsTuple);
       Context.Channels.closeIdle(drivers::clock::steadyNow());
+      reportStrangers();
     }
   }
 
+  /// One line a round at most, however many strangers knock.
+  void reportStrangers() {
+    const uint64_t n = Peers.strangers();
+    if (n == StrangersReported)
+      return;
+    Metrics.setStrangers(static_cast<int64_t>(n));
+    drivers::log::write(drivers::log::Level::Warn, "strangers_refused",
+                        {{"new", n - StrangersReported}, {"total", n}});
+    StrangersReported = n;
+  }
+
   asio::awaitable<void> obeyReload() {
     for (;;) {
       const auto [ec, n] = co_await Reload.async_wait(AsTuple);
@@ -292,6 +330,7 @@
   drivers::http::HttpServer MetricsServer;
   asio::signal_set Signals;
   asio::signal_set Reload;
+  uint64_t StrangersReported = 0;
   bool IsWhole = true;
 };
 
@@ -308,7 +347,6 @@
       (All->Settings.integer("node.max_files") - ReservedFiles) / 2);
   BOOST_LEAF_CHECK(All->Server.listenForCalls(calls, sessions));
   BOOST_LEAF_CHECK(All->startStatus());
-  BOOST_LEAF_CHECK(All->Peers.start());
   All->Source.start(All->View);
   asio::co_spawn(All->Loop, All->upkeep(), asio::detached);
   asio::co_spawn(All->Loop, All->obeyReload(), asio::detached);
--- a/main/entry_node.h
+++ b/main/entry_node.h
@@ -27,7 +27,7 @@
   EntryNode &operator=(const EntryNode &) = delete;
 
   /// Listens, and begins to follow the store. Fails with a
-  /// drivers::loop::ListenError or a drivers::peer::TransportError.
+  /// drivers::loop::ListenError.
   boost::leaf::result<void> start();
 
   /// Runs until SIGTERM or SIGINT has been obeyed. Returns whether every call
--- a/main/main.cpp
+++ b/main/main.cpp
@@ -23,7 +23,6 @@
 #include <iostream>
 #include <optional>
 #include <sys/resource.h>
-#include <zmq.h>
 
 namespace leaf = boost::leaf;
 namespace po = boost::program_options;
@@ -36,7 +35,6 @@
 constexpr const char *SettingsVariable = "ORIOLETALLY_SETTINGS";
 constexpr const char *TokenVariable = "ORIOLETALLY_TOKEN";
 constexpr int DefaultWaitSeconds = 30;
-constexpr size_t KeyBuffer = 41;
 
 /// SIGTERM and SIGINT, taken synchronously by the main thread.
 class StopSignals {
@@ -177,11 +175,10 @@
 }
 
 ExitCode makeKey() {
-  std::array<char, KeyBuffer> publicKey{};
-  std::array<char, KeyBuffer> secretKey{};
-  if (zmq_curve_keypair(publicKey.data(), secretKey.data()) != 0)
+  const std::string key = drivers::peer::makeSecretKey();
+  if (key.empty())
     return failed("this ZeroMQ has no encryption");
-  fmt::print("{}\n", secretKey.data());
+  fmt::print("{}\n", key);
   return ExitCode::Done;
 }
 
--- a/tests/lab/store_server.cpp
+++ b/tests/lab/store_server.cpp
@@ -186,6 +186,7 @@
 }
 
 bool StoreServer::write(const std::string &body) {
+  const std::lock_guard lock(Writing);
   const json wanted = json::parse(body);
   for (const json &it : wanted.at("expected_rev"))
     if (!holds(it))
--- a/tests/lab/store_server.h
+++ b/tests/lab/store_server.h
@@ -58,6 +58,8 @@
   void change(Change made);
 
   mutable std::mutex Guard;
+  /// Held from a transaction's conditions to its last write.
+  std::mutex Writing;
   std::condition_variable Changed;
   uint64_t Version = 1;
   uint64_t KeptFrom = 0;
--- a/tests/platform/test_relay.cpp
+++ b/tests/platform/test_relay.cpp
@@ -1,3 +1,5 @@
+#include "drivers/peer/peer_transport.h"
+#include "proto/generated/relay.pb.h"
 #include "tests/support/relay_fixture.h"
 
 #include <csignal>
@@ -626,3 +628,62 @@
   STRCMP_EQUAL(events(1, 20).c_str(), answer.Body.c_str());
   LONGS_EQUAL(0, fixture.Process.waitExit(std::chrono::seconds(8)));
 }
+
+TEST(Relay, NodesThatStartTogetherAgreeOnOneKeyAndHearEachOther) {
+  std::vector<std::unique_ptr<RelayFixture>> others;
+  for (const char *name : {"n2", "n3", "n4"})
+    others.push_back(std::make_unique<RelayFixture>(fixture, name));
+  fixture.Process.start({"entry", "--settings", fixture.writeSettings("")});
+  for (const auto &it : others)
+    it->Process.start({"entry", "--settings", it->writeSettings("")});
+  for (const auto &it : others)
+    CHECK(it->Process.waitEvent("peer_found", std::chrono::seconds(15))
+              .has_value());
+  CHECK_FALSE(fixture.Store.value("entry-keys", "current").empty());
+}
+
+TEST(Relay, AnUnreadableKeyIsReplaced) {
+  fixture.Store.put("entry-keys", "current", R"({"secret":"short"})");
+  RelayFixture other(fixture, "n2");
+  fixture.Process.start({"entry", "--settings", fixture.writeSettings("")});
+  other.Process.start({"entry", "--settings", other.writeSettings("")});
+  CHECK(other.Process.waitEvent("peer_found", std::chrono::seconds(15))
+            .has_value());
+}
+
+TEST(Relay, AStrangerIsNoNode) {
+  StandInBackend backend(scripts::answer("hello"));
+  fixture.list("i-1", "plain", backend.address());
+  CHECK(fixture.start(1));
+  CHECK(fixture.Process.waitEvent("peers_joined", std::chrono::seconds(5))
+            .has_value());
+  proto::NodeNews news;
+  news.set_node("stranger");
+  news.set_peer_address("127.0.0.1:1");
+  news.set_incarnation(1);
+  news.set_config_version(9);
+  std::string invented = fixture.Store.value("op", "config");
+  invented.replace(invented.find("key-n"), 5, "key-x");
+  invented.replace(invented.find("\"version\":1"), 11, "\"version\":9");
+  news.set_config(invented);
+  news.add_leaving("i-1");
+  for (const std::string &key :
+       {std::string(), drivers::peer::makeSecretKey()}) {
+    drivers::peer::TransportSettings settings;
+    settings.SecretKey = key;
+    drivers::peer::PeerTransport stranger(settings, [](std::string_view) {});
+    CHECK(static_cast<bool>(stranger.start()));
+    for (int n = 0; n < 10; ++n) {
+      stranger.send(fixture.Peers, news.SerializeAsString());
+      std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+  }
+  LONGS_EQUAL(200, fixture.call("GET", "/read/x").Status);
+  LONGS_EQUAL(
+      401,
+      fixture.call("GET", "/read/x", "Authorization: Token key-x\r\n").Status);
+  CHECK(fixture.Process.log().find("backend_leaving_by_peer") ==
+        std::string::npos);
+  CHECK(fixture.Process.waitEvent("strangers_refused", std::chrono::seconds(3))
+            .has_value());
+}
--- a/tests/support/relay_fixture.cpp
+++ b/tests/support/relay_fixture.cpp
@@ -182,9 +182,15 @@
 } // namespace scripts
 
 RelayFixture::RelayFixture()
-    : Calls(loopback(freePort())), Ready(loopback(freePort())),
+    : SharedStore(std::make_shared<lab::StoreServer>()), Store(*SharedStore),
+      Calls(loopback(freePort())), Ready(loopback(freePort())),
       Peers(loopback(freePort())) {}
 
+RelayFixture::RelayFixture(const RelayFixture &other, std::string name)
+    : SharedStore(other.SharedStore), Store(*SharedStore),
+      Name(std::move(name)), Calls(loopback(freePort())),
+      Ready(loopback(freePort())), Peers(loopback(freePort())) {}
+
 void RelayFixture::list(const std::string &id, const std::string &service,
                         const std::string &address, const std::string &state) {
   Store.put("servers", id,
@@ -244,11 +250,11 @@
 std::string RelayFixture::writeSettings(const std::string &extra) const {
   return Process.writeFile(
       "entry.toml",
-      fmt::format("[node]\nname = \"n1\"\nzone = \"z\"\n[calls]\n"
+      fmt::format("[node]\nname = \"{}\"\nzone = \"z\"\n[calls]\n"
                   "address = \"{}\"\n[ready]\naddress = \"{}\"\n[metrics]\n"
                   "port = 0\n[peers]\naddress = \"{}\"\n[store]\n"
                   "address = \"{}\"\nwait_ms = 300\nbound_ms = 300\n{}",
-                  Calls, Ready, Peers, Store.address(), extra));
+                  Name, Calls, Ready, Peers, Store.address(), extra));
 }
 
 bool RelayFixture::start(size_t backends) {
--- a/tests/support/relay_fixture.h
+++ b/tests/support/relay_fixture.h
@@ -66,6 +66,8 @@
 class RelayFixture {
 public:
   RelayFixture();
+  /// Another node, called \p name, on the store of \p other.
+  RelayFixture(const RelayFixture &other, std::string name);
 
   /// Lists a backend server of \p service ("plain" or "engine").
   void list(const std::string &id, const std::string &service,
@@ -95,7 +97,9 @@
   /// The log line of the call \p attemptId, once it is written.
   nlohmann::json logOf(const std::string &attemptId) const;
 
-  lab::StoreServer Store;
+  std::shared_ptr<lab::StoreServer> SharedStore;
+  lab::StoreServer &Store;
+  std::string Name = "n1";
   ChildProcess Process;
   std::string Calls;
   std::string Ready;
