Pass changes on from the last change, not from the last read

Cause: a follower named the version of its last whole read as the one that its changes follow. The store counts all its tables in one version, so a node that had read a little earlier lacked nothing and still left the change, until a beat a second later made it read the store.

Change: the version of the last change is named. The messages between nodes are decoded in one place, drivers/relay/node_news.

--- a/drivers/relay/fleet_view.cpp
+++ b/drivers/relay/fleet_view.cpp
@@ -43,7 +43,8 @@
 }
 
 void FleetView::backendsChanged(std::vector<BackendChange> changes) {
-  const uint64_t since = BackendsKnownTo;
+  // A whole read is newer than the last change; other nodes needn't be.
+  const uint64_t since = BackendsChangedAt;
   const absl::Time now = clock::steadyNow();
   for (BackendChange &it : changes)
     apply(it, now);
--- a/drivers/relay/peer_link.cpp
+++ b/drivers/relay/peer_link.cpp
@@ -2,7 +2,6 @@
 
 #include "drivers/clock/clock.h"
 #include "drivers/log/log.h"
-#include "proto/generated/relay.pb.h"
 
 #include <algorithm>
 #include <utility>
@@ -35,9 +34,6 @@
 /// Time that the store has to tell this node of a configuration that another
 /// has, before the other is asked for it.
 constexpr absl::Duration AskAfter = absl::Milliseconds(300);
-/// Larger figures in messages count as these: about an hour.
-constexpr uint64_t MaxGoneMs = 3'600'000;
-constexpr uint64_t MaxAgeMs = 3'600'000;
 
 peer::TransportSettings transportSettings(const std::string &address,
                                           const std::string &key) {
@@ -51,82 +47,6 @@
   return settings;
 }
 
-proto::PromptNews encode(const PromptNews &news) {
-  proto::PromptNews message;
-  message.set_kind(static_cast<uint32_t>(news.Kind));
-  message.set_engine_hash(news.EngineHash);
-  message.set_load_id(news.LoadId);
-  if (news.Kind == NewsKind::Sent) {
-    message.set_read_tokens(news.ReadTokens);
-    message.set_prompt_tokens(news.PromptTokens);
-    message.set_answer_tokens(news.AnswerTokens);
-    message.set_gap_ms(news.GapMs);
-    message.set_held_tokens(news.HeldTokens);
-  }
-  return message;
-}
-
-PromptNews decode(const proto::PromptNews &message) {
-  PromptNews news;
-  news.Kind = static_cast<NewsKind>(std::min<uint32_t>(
-      message.kind(), static_cast<uint32_t>(NewsKind::Ended)));
-  news.EngineHash = message.engine_hash();
-  news.LoadId = message.load_id();
-  news.ReadTokens = message.read_tokens();
-  news.PromptTokens = message.prompt_tokens();
-  news.AnswerTokens = message.answer_tokens();
-  news.GapMs = message.gap_ms();
-  news.HeldTokens = message.held_tokens();
-  return news;
-}
-
-proto::BackendNews encode(const BackendChange &change) {
-  proto::BackendNews message;
-  message.set_id(change.Entry.Id);
-  message.set_row_version(change.Entry.RowVersion);
-  message.set_removed(change.Removed);
-  if (change.Removed) {
-    message.set_gone_in_ms(
-        static_cast<uint64_t>(absl::ToInt64Milliseconds(change.GoneIn)));
-    return message;
-  }
-  message.set_service(change.Entry.Service);
-  message.set_address(change.Entry.Address);
-  message.set_zone(change.Entry.Zone);
-  message.set_slots(change.Entry.Slots);
-  message.set_leaving(change.Entry.Leaving);
-  message.set_born_ms(change.Entry.BornMs);
-  return message;
-}
-
-BackendChange decode(const proto::BackendNews &message) {
-  BackendChange change;
-  change.Entry.Id = message.id();
-  change.Entry.RowVersion = message.row_version();
-  change.Removed = message.removed();
-  change.GoneIn =
-      absl::Milliseconds(std::min<uint64_t>(message.gone_in_ms(), MaxGoneMs));
-  change.Entry.Service = message.service();
-  change.Entry.Address = message.address();
-  change.Entry.Zone = message.zone();
-  change.Entry.Slots = message.slots();
-  change.Entry.Leaving = message.leaving();
-  change.Entry.BornMs = message.born_ms();
-  return change;
-}
-
-/// Milliseconds since \p at, plus one; 0 for never.
-uint64_t encodeAge(absl::Time at, absl::Time now) {
-  return at == absl::InfinitePast()
-             ? 0
-             : static_cast<uint64_t>(absl::ToInt64Milliseconds(now - at)) + 1;
-}
-
-absl::Time decodeAge(uint64_t age, absl::Time now) {
-  return age == 0 ? absl::InfinitePast()
-                  : now - absl::Milliseconds(std::min(age - 1, MaxAgeMs));
-}
-
 core::fleet::CatchUpTimes configTimes() {
   core::fleet::CatchUpTimes times;
   times.ReadAfter = absl::ZeroDuration();
@@ -189,11 +109,10 @@
 
 void PeerLink::tellBackends(uint64_t since,
                             const std::vector<BackendChange> &changes) {
-  proto::NodeNews message = ownNews();
-  message.set_backends_since(since);
-  for (const BackendChange &it : changes)
-    *message.add_backends() = encode(it);
-  sendToCell(message);
+  NodeNews news = ownNews();
+  news.BackendsSince = since;
+  news.Backends = changes;
+  sendToCell(news);
 }
 
 void PeerLink::nodesRead(const std::vector<NodeEntry> &nodes,
@@ -244,37 +163,31 @@
 
 void PeerLink::flush() {
   FlushAt = absl::InfiniteFuture();
-  proto::NodeNews message = ownNews();
-  for (const PromptNews &it : Pending)
-    *message.add_prompts() = encode(it);
-  Pending.clear();
+  NodeNews news = ownNews();
+  news.Prompts = std::exchange(Pending, {});
   if (std::exchange(IsFleetPending, false))
-    for (const std::string &it : Handlers.Leaving())
-      message.add_leaving(it);
-  sendToCell(message);
+    news.Leaving = Handlers.Leaving();
+  sendToCell(news);
 }
 
-void PeerLink::sendToCell(const proto::NodeNews &message) {
-  const std::string bytes = message.SerializeAsString();
+void PeerLink::sendToCell(const NodeNews &news) {
   const absl::Time now = clock::steadyNow();
+  const std::string bytes = encodeNews(news, now);
   for (const auto &[name, peer] : Peers)
     if (now - peer.KnownAt < SilentBound)
       send(peer.Address, bytes);
 }
 
-proto::NodeNews PeerLink::ownNews() const {
-  const absl::Time now = clock::steadyNow();
-  proto::NodeNews message;
-  message.set_node(Self.Name);
-  message.set_peer_address(Self.PeerAddress);
-  message.set_incarnation(Self.Incarnation);
-  message.set_config_version(Handlers.ConfigVersion());
-  message.set_config_followed_ago(
-      encodeAge(Handlers.FollowedAt(FleetTopic::Config), now));
-  message.set_backends_followed_ago(
-      encodeAge(Handlers.FollowedAt(FleetTopic::Backends), now));
-  message.set_backends_version(Handlers.BackendsChangedAt());
-  return message;
+NodeNews PeerLink::ownNews() const {
+  NodeNews news;
+  news.Node = Self.Name;
+  news.PeerAddress = Self.PeerAddress;
+  news.Incarnation = Self.Incarnation;
+  news.ConfigVersion = Handlers.ConfigVersion();
+  news.ConfigFollowedAt = Handlers.FollowedAt(FleetTopic::Config);
+  news.BackendsFollowedAt = Handlers.FollowedAt(FleetTopic::Backends);
+  news.BackendsVersion = Handlers.BackendsChangedAt();
+  return news;
 }
 
 asio::awaitable<void> PeerLink::beat() {
@@ -288,77 +201,64 @@
 }
 
 void PeerLink::receive(const std::string &bytes) {
-  proto::NodeNews message;
-  if (Stopping || !message.ParseFromString(bytes))
-    return;
-  if (message.node() == Self.Name)
-    return;
   const absl::Time now = clock::steadyNow();
-  const auto known = Peers.find(message.node());
-  if (known != Peers.end() && message.incarnation() < known->second.Incarnation)
+  std::optional<NodeNews> news = decodeNews(bytes, now);
+  if (Stopping || !news.has_value() || news->Node == Self.Name)
     return;
-  meet(message, now);
-  takeFollowing(message, now);
-  for (const proto::PromptNews &it : message.prompts())
-    Handlers.TakePrompt(decode(it));
-  if (message.backends_size() > 0) {
-    std::vector<BackendChange> changes;
-    for (const proto::BackendNews &it : message.backends())
-      changes.push_back(decode(it));
-    Handlers.TakeBackends(message.backends_since(), std::move(changes));
-  }
-  if (message.leaving_size() > 0)
-    Handlers.TakeLeaving({message.leaving().begin(), message.leaving().end()});
-  if (!message.config().empty())
-    Handlers.TakeConfig(message.config());
-  catchUp(message, now);
+  const auto known = Peers.find(news->Node);
+  if (known != Peers.end() && news->Incarnation < known->second.Incarnation)
+    return;
+  meet(*news, now);
+  Duty.heard(news->Node, now);
+  Duty.followed(news->Node, FleetTopic::Config, news->ConfigFollowedAt);
+  Duty.followed(news->Node, FleetTopic::Backends, news->BackendsFollowedAt);
+  for (const PromptNews &it : news->Prompts)
+    Handlers.TakePrompt(it);
+  if (!news->Backends.empty())
+    Handlers.TakeBackends(news->BackendsSince, std::move(news->Backends));
+  if (!news->Leaving.empty())
+    Handlers.TakeLeaving(news->Leaving);
+  if (!news->Config.empty())
+    Handlers.TakeConfig(news->Config);
+  catchUp(*news, now);
 }
 
-void PeerLink::meet(const proto::NodeNews &message, absl::Time now) {
-  Peer &peer = Peers[message.node()];
-  Roster.heard(message.node(), now);
+void PeerLink::meet(const NodeNews &news, absl::Time now) {
+  Peer &peer = Peers[news.Node];
+  Roster.heard(news.Node, now);
   const bool isUnlisted = peer.Address.empty();
-  const bool isNew = !peer.IsHeard || message.incarnation() != peer.Incarnation;
-  peer = {message.peer_address(), message.incarnation(), now, true};
+  const bool isNew = !peer.IsHeard || news.Incarnation != peer.Incarnation;
+  peer = {news.PeerAddress, news.Incarnation, now, true};
   if (!isNew)
     return;
   log::write(log::Level::Info, "peer_found",
-             {{"peer", message.node()},
-              {"address", message.peer_address()},
-              {"peer_incarnation", message.incarnation()}});
+             {{"peer", news.Node},
+              {"address", news.PeerAddress},
+              {"peer_incarnation", news.Incarnation}});
   // It registered itself after the nodes were read.
   if (isUnlisted)
     Handlers.Refresh(FleetTopic::Nodes);
 }
 
-void PeerLink::takeFollowing(const proto::NodeNews &message, absl::Time now) {
-  Duty.heard(message.node(), now);
-  Duty.followed(message.node(), FleetTopic::Config,
-                decodeAge(message.config_followed_ago(), now));
-  Duty.followed(message.node(), FleetTopic::Backends,
-                decodeAge(message.backends_followed_ago(), now));
-}
-
-void PeerLink::catchUp(const proto::NodeNews &message, absl::Time now) {
-  if (BackendsLag.heard(Handlers.BackendsKnownTo(), message.backends_version(),
-                        Duty.mustFollow(FleetTopic::Backends, now),
-                        now) == CatchUpStep::ReadStore)
+void PeerLink::catchUp(const NodeNews &news, absl::Time now) {
+  const bool followsBackends = Duty.mustFollow(FleetTopic::Backends, now);
+  if (BackendsLag.heard(Handlers.BackendsKnownTo(), news.BackendsVersion,
+                        followsBackends, now) == CatchUpStep::ReadStore)
     Handlers.Refresh(FleetTopic::Backends);
   const uint64_t version = Handlers.ConfigVersion();
   const CatchUpStep step =
-      ConfigLag.heard(version, message.config_version(),
+      ConfigLag.heard(version, news.ConfigVersion,
                       Duty.mustFollow(FleetTopic::Config, now), now);
   if (step == CatchUpStep::ReadStore)
     Handlers.Refresh(FleetTopic::Config);
-  const bool isAsked =
-      message.wants_config() && version > message.config_version();
+  const bool isAsked = news.WantsConfig && version > news.ConfigVersion;
   if (!isAsked && step != CatchUpStep::AskPeer)
     return;
-  proto::NodeNews reply = ownNews();
+  NodeNews reply = ownNews();
   if (isAsked)
-    reply.set_config(Handlers.ConfigText());
-  reply.set_wants_config(step == CatchUpStep::AskPeer);
-  send(message.peer_address(), reply.SerializeAsString());
+    reply.Config = Handlers.ConfigText();
+  reply.WantsConfig = step == CatchUpStep::AskPeer;
+  send(news.PeerAddress, encodeNews(reply, now));
 }
 
 } // namespace orioletally::drivers::relay
--- a/drivers/relay/peer_link.h
+++ b/drivers/relay/peer_link.h
@@ -9,6 +9,7 @@
 #include "core/relay/load_news.h"
 #include "drivers/loop/asio_use.h"
 #include "drivers/peer/peer_transport.h"
+#include "drivers/relay/node_news.h"
 
 #include <absl/time/time.h>
 #include <boost/leaf.hpp>
@@ -18,10 +19,6 @@
 #include <string>
 #include <vector>
 
-namespace orioletally::proto {
-class NodeNews;
-}
-
 namespace orioletally::drivers::relay {
 
 /// What a PeerLink needs of the node and does for it. All are called on the
@@ -103,11 +100,11 @@
   };
 
   void receive(const std::string &bytes);
-  void meet(const proto::NodeNews &message, absl::Time now);
-  void takeFollowing(const proto::NodeNews &message, absl::Time now);
-  void catchUp(const proto::NodeNews &message, absl::Time now);
-  void sendToCell(const proto::NodeNews &message);
-  proto::NodeNews ownNews() const;
+  void meet(const NodeNews &news, absl::Time now);
+  void catchUp(const NodeNews &news, absl::Time now);
+  void sendToCell(const NodeNews &news);
+  /// News that say who sends them and what it knows.
+  NodeNews ownNews() const;
   void send(const std::string &address, std::string bytes);
   void flush();
   void flushWithin(absl::Duration time);
--- /dev/null
+++ b/tests/platform/test_cell.cpp
@@ -0,0 +1,136 @@
+#include "tests/support/relay_fixture.h"
+
+#include <csignal>
+#include <fmt/format.h>
+#include <memory>
+#include <sstream>
+#include <thread>
+
+// Last: it defines a macro called new.
+#include <CppUTest/TestHarness.h>
+
+using namespace orioletally;
+using namespace orioletally::tests;
+
+namespace {
+
+constexpr int CellNodes = 12;
+/// Followers of core::fleet::FollowDuty.
+constexpr int Followers = 4;
+
+/// Whether the node follows the configuration at the store, by its log.
+bool followsConfig(const RelayFixture &node) {
+  bool follows = true;
+  std::istringstream lines(node.Process.log());
+  for (std::string line; std::getline(lines, line);) {
+    const auto it = nlohmann::json::parse(line, nullptr, false);
+    if (it.is_object() && it.value("event", "") == "follow_duty" &&
+        it.value("topic", "") == "config")
+      follows = it.at("follows").get<bool>();
+  }
+  return follows;
+}
+
+} // namespace
+
+TEST_GROUP(Cell) {
+  std::vector<std::unique_ptr<RelayFixture>> nodes;
+
+  void setup() override {
+    nodes.push_back(std::make_unique<RelayFixture>());
+    nodes.front()->configure(1);
+    for (int n = 2; n <= CellNodes; ++n)
+      nodes.push_back(std::make_unique<RelayFixture>(*nodes.front(),
+                                                     fmt::format("n{}", n)));
+  }
+
+  lab::StoreServer &store() { return nodes.front()->Store; }
+
+  void start() {
+    for (const auto &it : nodes)
+      it->Process.start({"entry", "--settings", it->writeSettings("")});
+    CHECK(within(15'000, [&] { return followers().size() == Followers; }));
+  }
+
+  std::vector<RelayFixture *> followers() {
+    std::vector<RelayFixture *> result;
+    for (const auto &it : nodes)
+      if (followsConfig(*it))
+        result.push_back(it.get());
+    return result;
+  }
+
+  /// Whether every node that runs answers a call of \p path so within \p ms.
+  bool allAnswer(const std::string &path, int status, int ms) {
+    return within(ms, [&] {
+      for (const auto &it : nodes)
+        if (it->Process.isStarted() && it->call("GET", path).Status != status)
+          return false;
+      return true;
+    });
+  }
+};
+
+TEST(Cell, AFewNodesFollowTheStoreAndTheOthersHearOfChanges) {
+  StandInBackend leaving(scripts::answer("leaving"));
+  StandInBackend staying(scripts::answer("staying"));
+  nodes.front()->list("i-1", "plain", leaving.address());
+  nodes.front()->list("i-2", "plain", staying.address());
+  start();
+  CHECK(allAnswer("/read/x", 200, 2'000));
+  const uint64_t before = store().calls();
+  std::this_thread::sleep_for(std::chrono::seconds(3));
+  // Two waiting calls of 0.3 s a follower, and the reads of the nodes.
+  CHECK(store().calls() - before < 3 * (Followers * 2 * 3 + CellNodes));
+  nodes.front()->configure(2, "/new/");
+  CHECK(allAnswer("/new/x", 200, 2'000));
+  nodes.front()->list("i-1", "plain", leaving.address(), "draining");
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  const int count = leaving.attempts();
+  for (int n = 0; n < 5; ++n)
+    CHECK(allAnswer("/read/x", 200, 1'000));
+  LONGS_EQUAL(count, leaving.attempts());
+  // One that is listed anew is used by those that don't follow, too.
+  StandInBackend fresh(scripts::answer("fresh"));
+  nodes.front()->list("i-3", "plain", fresh.address());
+  nodes.front()->unlist("i-2");
+  CHECK(within(2'000, [&] {
+    for (const auto &it : nodes)
+      if (it->call("GET", "/read/x").Body != "fresh")
+        return false;
+    return true;
+  }));
+}
+
+TEST(Cell, OthersTakeOverFromFollowersThatAreKilled) {
+  StandInBackend backend(scripts::answer("hello"));
+  nodes.front()->list("i-1", "plain", backend.address());
+  start();
+  std::vector<RelayFixture *> killed = followers();
+  for (RelayFixture *it : killed)
+    it->Process.signal(SIGKILL);
+  nodes.front()->configure(2, "/new/");
+  const auto runs = [&](const RelayFixture &node) {
+    return std::find(killed.begin(), killed.end(), &node) == killed.end();
+  };
+  // The users' bound for a change in force at nodes in touch, 4 s.
+  CHECK(within(4'000, [&] {
+    for (const auto &it : nodes)
+      if (runs(*it) && it->call("GET", "/new/x").Status != 200)
+        return false;
+    return true;
+  }));
+}
+
+TEST(Cell, AnOutageOfTheStoreEndsForAllNodes) {
+  StandInBackend backend(scripts::answer("hello"));
+  nodes.front()->list("i-1", "plain", backend.address());
+  start();
+  store().setFault(lab::StoreFault::Refuse);
+  std::this_thread::sleep_for(std::chrono::seconds(4));
+  CHECK(allAnswer("/read/x", 200, 1'000));
+  nodes.front()->configure(2, "/new/");
+  store().compact();
+  store().setFault(lab::StoreFault::None);
+  CHECK(allAnswer("/new/x", 200, 3'000));
+}
