Feed every decoder of bytes from outside 20,000 seeded mutations

Cause: decoders of configuration, backend entries, rows, headers, news of nodes and events were tested with a few malformed texts each.

--- /dev/null
+++ b/tests/platform/test_decoders.cpp
@@ -0,0 +1,233 @@
+#include "core/relay/event_stream.h"
+#include "drivers/relay/node_news.h"
+#include "platform/backend_entry_codec.h"
+#include "platform/config_codec.h"
+#include "platform/header_codec.h"
+#include "platform/json_reader.h"
+#include "platform/row_codec.h"
+#include "tests/support/request_fixture.h"
+
+#include <array>
+#include <random>
+
+// Last: it defines a macro called new.
+#include <CppUTest/TestHarness.h>
+
+using namespace orioletally;
+using orioletally::tests::at;
+namespace leaf = boost::leaf;
+
+namespace {
+
+constexpr int Mutations = 20'000;
+constexpr uint64_t Seed = 15;
+
+/// Texts that decoders stumble over.
+constexpr std::array<std::string_view, 14> Awkward = {"",
+                                                      "null",
+                                                      "-1",
+                                                      "18446744073709551616",
+                                                      "1e999",
+                                                      "{}",
+                                                      "[]",
+                                                      "\"",
+                                                      "\\",
+                                                      "\xff\xfe",
+                                                      "\x00",
+                                                      "true",
+                                                      "9223372036854775807",
+                                                      "[[[[[["};
+
+/// \p text with a few bytes changed, cut out, doubled or put in.
+std::string mutated(std::string text, std::mt19937_64 &random) {
+  const auto below = [&](size_t n) { return n == 0 ? 0 : random() % n; };
+  for (size_t n = 1 + below(4); n > 0; --n) {
+    const size_t from = below(text.size());
+    const size_t length = below(std::min<size_t>(32, text.size() - from));
+    switch (below(5)) {
+    case 0:
+      if (!text.empty())
+        text[from] = static_cast<char>(random());
+      break;
+    case 1:
+      text.erase(from, length);
+      break;
+    case 2:
+      text.insert(from, text.substr(from, length));
+      break;
+    case 3:
+      text.insert(from, Awkward[below(Awkward.size())]);
+      break;
+    default:
+      text.resize(from);
+      break;
+    }
+  }
+  return text;
+}
+
+/// Decodes mutations of \p text; returns how many were readable. That each
+/// ends in a value or an error of its own layer is checked by getting there.
+template <typename Decode>
+int readable(const std::string &text, Decode decode) {
+  std::mt19937_64 random(Seed);
+  int count = 0;
+  for (int n = 0; n < Mutations; ++n) {
+    const std::string bytes = mutated(text, random);
+    count += leaf::try_handle_all(
+        [&]() -> leaf::result<int> {
+          BOOST_LEAF_CHECK(decode(bytes));
+          return 1;
+        },
+        [](const platform::CodecError &) { return 0; },
+        [] {
+          FAIL("an error of another layer");
+          return 0;
+        });
+  }
+  return count;
+}
+
+constexpr const char *Config = R"({"version":7,"routes":[
+  {"name":"r1","host":"a.example","prefix":"/s/","kind":"streaming",
+   "timeout_ms":10000,"target_latency_ms":300,"priority":1,
+   "traffic_split":[{"service":"x","weight":90},{"service":"y","weight":10}],
+   "max_attempts":2,"public":false,"resumable":true,"gap_aim_ms":200}],
+  "services":[{"name":"x","engine":{"slots":16,"kv_capacity":450000,
+   "stride":46,"step_ms":0.925,"per_seq_ms":0.00483,"context_per_k":0.00254,
+   "read_per_s":256000.0,"pairs_per_m":0.0917,"chunk":2048}},{"name":"y"}],
+  "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,
+   "header_timeout_ms":3000,"idle_timeout_ms":15000},
+  "tenants":[{"name":"w","api_keys":["k1","k2"],"priority":1}]})";
+
+constexpr const char *Backend =
+    R"({"service":"x","address":"10.0.0.1:80","zone":"z","slots":16,)"
+    R"("state":"ready","born":1764800000000,"cold_remaining_ms":0})";
+
+constexpr const char *Rows =
+    R"({"rows":[{"table":"t","part":"","key":"k","value":"e30=",)"
+    R"("schema_version":3},{"table":"t","part":"","key":"l",)"
+    R"("schema_version":4,"removed":true}],"schema_version":5,)"
+    R"("has_more":false,"now_ms":1})";
+
+} // namespace
+
+TEST_GROUP(Decoders){};
+
+TEST(Decoders, AnyBytesAreAConfigurationOrAnErrorThatSaysWhere) {
+  const int count = readable(
+      Config, [](const std::string &it) { return platform::decodeConfig(it); });
+  CHECK(count > 0 && count < Mutations);
+}
+
+TEST(Decoders, AnyBytesAreABackendServerOrAnErrorThatSaysWhere) {
+  const int count = readable(Backend, [](const std::string &it) {
+    return platform::decodeBackendEntry("i-1", it, 3);
+  });
+  CHECK(count > 0 && count < Mutations);
+}
+
+TEST(Decoders, AnyBytesAreRowsOrAnErrorThatSaysWhere) {
+  const int count = readable(
+      Rows, [](const std::string &it) { return platform::decodeRows(it); });
+  CHECK(count > 0 && count < Mutations);
+}
+
+TEST(Decoders, AnyHeadersAreACallAndAnAnswer) {
+  const std::array<const char *, 10> names = {
+      "X-Orioletally-Attempt-Id",
+      "X-Orioletally-Deadline-Ms",
+      "X-Orioletally-Token-Counts",
+      "X-Orioletally-Length-Hint",
+      "Last-Event-Id",
+      "Authorization",
+      "Retry-After",
+      "Server-Leaving",
+      "At-Server",
+      "X-Orioletally-Response-Signature"};
+  const platform::HeaderCodec codec;
+  std::mt19937_64 random(Seed);
+  for (int n = 0; n < Mutations; ++n) {
+    std::vector<std::string> values;
+    std::vector<core::relay::HeaderView> lines;
+    for (size_t it = 0; it < names.size(); ++it)
+      values.push_back(mutated("Token 12,34.5", random));
+    for (size_t it = 0; it < names.size(); ++it)
+      lines.push_back({names[it], values[it]});
+    const core::relay::CallHead call = codec.decodeCall(lines);
+    CHECK(call.PromptTokens >= 0 && call.AnswerTokens >= 0);
+    const core::relay::AnswerHead answer = codec.decodeAnswer(lines);
+    if (answer.PauseFor.has_value())
+      CHECK(*answer.PauseFor >= absl::ZeroDuration());
+  }
+}
+
+TEST(Decoders, AnyBytesAreNewsWithinBoundsOrNone) {
+  drivers::relay::NodeNews news;
+  news.Node = "n1";
+  news.PeerAddress = "10.0.0.1:7340";
+  news.Incarnation = 5;
+  news.ConfigFollowedAt = at(9'000);
+  news.Prompts.resize(3);
+  news.Backends.resize(2);
+  news.Backends[1].Removed = true;
+  news.Leaving = {"i-1", "i-2"};
+  news.Config = "{}";
+  const std::string bytes = drivers::relay::encodeNews(news, at(10'000));
+  std::mt19937_64 random(Seed);
+  int count = 0;
+  for (int n = 0; n < Mutations; ++n) {
+    const auto read =
+        drivers::relay::decodeNews(mutated(bytes, random), at(10'000));
+    if (!read.has_value())
+      continue;
+    ++count;
+    CHECK_FALSE(read->Node.empty());
+    CHECK(read->ConfigFollowedAt <= at(10'000));
+    for (const core::relay::PromptNews &it : read->Prompts)
+      CHECK(it.ReadTokens >= 0 && it.HeldTokens >= 0 && it.GapMs >= 0 &&
+            it.Kind <= core::relay::NewsKind::Ended);
+    for (const core::fleet::BackendChange &it : read->Backends)
+      CHECK(it.GoneIn <= absl::Hours(1));
+  }
+  CHECK(count > 0 && count < Mutations);
+}
+
+TEST(Decoders, NewsSurviveTheWire) {
+  drivers::relay::NodeNews news;
+  news.Node = "n1";
+  news.BackendsFollowedAt = at(8'500);
+  news.BackendsVersion = 40;
+  news.BackendsSince = 38;
+  core::fleet::BackendChange change;
+  change.Entry.Id = "i-1";
+  change.Entry.RowVersion = 40;
+  change.Removed = true;
+  change.GoneIn = absl::Milliseconds(700);
+  news.Backends.push_back(change);
+  const auto read = drivers::relay::decodeNews(
+      drivers::relay::encodeNews(news, at(10'000)), at(20'000));
+  CHECK(read.has_value());
+  // An age, so that clocks of nodes needn't agree.
+  CHECK(read->BackendsFollowedAt == at(18'500));
+  CHECK(read->ConfigFollowedAt == absl::InfinitePast());
+  LONGS_EQUAL(38, read->BackendsSince);
+  CHECK(read->Backends[0].Removed);
+  CHECK(read->Backends[0].GoneIn == absl::Milliseconds(700));
+}
+
+TEST(Decoders, AnyBytesOfAStreamAreHeldWithinItsBound) {
+  std::mt19937_64 random(Seed);
+  std::string whole;
+  for (int id = 1; id <= 20; ++id)
+    whole += "id: " + std::to_string(id) + "\ndata: x\r\n\r\n";
+  for (int n = 0; n < Mutations / 10; ++n) {
+    core::relay::EventStream stream(std::nullopt, 64);
+    const std::string bytes = mutated(whole, random);
+    size_t out = 0;
+    for (size_t from = 0; from < bytes.size(); from += 7)
+      out += stream.push(std::string_view(bytes).substr(from, 7)).size();
+    out += stream.takeRest().size();
+    CHECK(out <= bytes.size());
+  }
+}
