--- a/core/fleet/cell_plan.h
+++ b/core/fleet/cell_plan.h
@@ -36,7 +36,7 @@
 public:
   /// A cell with this many nodes is divided: what a node hears grows with its
   /// cell, and so does how well the cell evens out its load.
-  static constexpr size_t CellNodes = 28;
+  static constexpr size_t CellNodes = 56;
   /// A cell with more backend servers than this is divided as well, for what
   /// it costs to weigh them for each call, ...
   static constexpr size_t CellBackends = 48;
--- a/tests/core/test_engine_placement.cpp
+++ b/tests/core/test_engine_placement.cpp
@@ -245,7 +245,7 @@
   lab::NewsCount news;
   const double own = lab::worthOf(
       lab::playLoad(pattern, 7, lab::PlacementPolicy::Dispatcher, &news));
-  // A cell has about half to all of CellNodes members.
+  // A cell has half of CellNodes members to all of them.
   CHECK(news.Told > 10'000);
   CHECK(news.Sent <
         news.Told * static_cast<int64_t>(core::fleet::CellPlan::CellNodes));
