Leave whole reads that are older than what is known

Cause: a whole read of the backend servers that was on its way while another node passed a change on put the older rows back: one that had gone was used again for up to a minute, until the next read. Found by reading; and a node that had heard of a change from another passed it on as following that same change, which helps nobody who missed it.

Change: ListPosition decides, apart from I/O, which reads and changes are taken and which version a node's own news follows.

--- a/drivers/relay/fleet_view.cpp
+++ b/drivers/relay/fleet_view.cpp
@@ -30,50 +30,55 @@
 
 void FleetView::backendsRead(std::vector<BackendEntry> entries,
                              uint64_t version) {
+  uint64_t newest = 0;
+  for (const BackendEntry &it : entries)
+    newest = std::max(newest, it.RowVersion);
+  const uint64_t before = Position.knownTo();
+  const bool isTaken = Position.readWhole(version, newest);
   log::write(log::Level::Info, "backends_read_whole",
              {{"listed", entries.size()},
               {"known", Context.Calls.directory().size()},
-              {"version", version}});
-  for (const BackendEntry &it : entries)
-    BackendsChangedAt = std::max(BackendsChangedAt, it.RowVersion);
-  BackendsKnownTo = std::max(BackendsKnownTo, version);
+              {"version", version},
+              {"before", before},
+              {"taken", isTaken}});
+  if (!isTaken)
+    return;
   Context.Calls.directory().replace(std::move(entries), clock::steadyNow());
   Context.Metrics.setBackends(
       static_cast<int64_t>(Context.Calls.directory().size()));
 }
 
 void FleetView::backendsChanged(std::vector<BackendChange> changes) {
-  // A whole read is newer than the last change; other nodes needn't be.
-  const uint64_t since = BackendsChangedAt;
-  const absl::Time now = clock::steadyNow();
-  for (BackendChange &it : changes)
-    apply(it, now);
+  const uint64_t since = Position.fed(changes.back().Entry.RowVersion);
+  applyNew(changes);
   if (TellBackends)
     TellBackends(since, changes);
 }
 
 void FleetView::takeBackends(uint64_t since,
                              std::vector<BackendChange> changes) {
-  if (since > BackendsKnownTo)
-    return;
-  const uint64_t known = BackendsKnownTo;
-  const absl::Time now = clock::steadyNow();
-  for (BackendChange &it : changes)
-    if (it.Entry.RowVersion > known)
-      apply(it, now);
+  if (Position.canTake(since))
+    applyNew(changes);
 }
 
-void FleetView::apply(BackendChange &change, absl::Time now) {
-  BackendsKnownTo = std::max(BackendsKnownTo, change.Entry.RowVersion);
-  BackendsChangedAt = std::max(BackendsChangedAt, change.Entry.RowVersion);
-  if (change.Removed) {
-    remove(change, now);
-    return;
+void FleetView::applyNew(std::vector<BackendChange> &changes) {
+  const absl::Time now = clock::steadyNow();
+  for (BackendChange &it : changes) {
+    if (Position.isNew(it.Entry.RowVersion)) {
+      Position.took(it.Entry.RowVersion);
+      if (it.Removed)
+        remove(it, now);
+      else
+        logBackend(it.Entry, Context.Calls.directory().put(it.Entry, now));
+    }
+    // Who hears of it from this node mustn't drop it sooner.
+    const auto kept = Context.Calls.directory().find(it.Entry.Id);
+    if (it.Removed && kept != nullptr)
+      it.GoneIn = kept->GoneAt - now;
   }
-  logBackend(change.Entry, Context.Calls.directory().put(change.Entry, now));
 }
 
-void FleetView::remove(BackendChange &change, absl::Time now) {
+void FleetView::remove(const BackendChange &change, absl::Time now) {
   core::fleet::BackendDirectory &directory = Context.Calls.directory();
   BackendEntry gone = change.Entry;
   if (const auto server = directory.find(gone.Id))
@@ -84,8 +89,6 @@
           : directory.remove(gone.Id, now);
   if (made == DirectoryChange::Gone)
     Context.Channels.drop(gone.Address);
-  else if (const auto server = directory.find(gone.Id))
-    change.GoneIn = server->GoneAt - now;
   logBackend(gone, made);
 }
 
--- a/drivers/relay/fleet_view.h
+++ b/drivers/relay/fleet_view.h
@@ -1,6 +1,7 @@
 #ifndef ORIOLETALLY_DRIVERS_RELAY_FLEET_VIEW_H
 #define ORIOLETALLY_DRIVERS_RELAY_FLEET_VIEW_H
 
+#include "core/fleet/list_position.h"
 #include "core/platform/fleet_source.h"
 #include "drivers/relay/relay_context.h"
 
@@ -65,10 +66,10 @@
                     std::vector<core::fleet::BackendChange> changes);
 
   /// Version up to which every change of the backend servers is known.
-  uint64_t backendsKnownTo() const { return BackendsKnownTo; }
+  uint64_t backendsKnownTo() const { return Position.knownTo(); }
 
   /// Version of the newest change of the backend servers.
-  uint64_t backendsChangedAt() const { return BackendsChangedAt; }
+  uint64_t backendsChangedAt() const { return Position.changedAt(); }
 
   /// When the store last told this node about \p topic.
   absl::Time followedAt(core::platform::FleetTopic topic) const {
@@ -85,9 +86,9 @@
     absl::Time FollowedAt = absl::InfinitePast();
   };
 
-  /// Puts \p change in force; fills in when a removal counts.
-  void apply(core::fleet::BackendChange &change, absl::Time now);
-  void remove(core::fleet::BackendChange &change, absl::Time now);
+  /// Puts the changes in force that aren't known; fills in when removals count.
+  void applyNew(std::vector<core::fleet::BackendChange> &changes);
+  void remove(const core::fleet::BackendChange &change, absl::Time now);
 
   void logBackend(const core::fleet::BackendEntry &entry,
                   core::fleet::DirectoryChange change);
@@ -98,8 +99,7 @@
   std::function<bool(const std::string &)> TakePeerKey;
   std::function<void(uint64_t, const std::vector<core::fleet::BackendChange> &)>
       TellBackends;
-  uint64_t BackendsKnownTo = 0;
-  uint64_t BackendsChangedAt = 0;
+  core::fleet::ListPosition Position;
   std::array<TopicState, core::platform::FleetTopics> Topics;
 };
 
