--- a/tests/platform/test_codecs.cpp
+++ b/tests/platform/test_codecs.cpp
@@ -3,12 +3,14 @@
 #include "platform/header_codec.h"
 #include "platform/json_reader.h"
 #include "platform/row_codec.h"
+#include "tests/support/wire_samples.h"
 
 #include <CppUTest/TestHarness.h>
 #include <fmt/format.h>
 
 using namespace orioletally;
 using namespace orioletally::platform;
+using orioletally::tests::SampleConfig;
 namespace leaf = boost::leaf;
 
 namespace {
@@ -24,19 +26,6 @@
       [] { return std::string("?"); });
 }
 
-constexpr const char *Config = R"({"version":7,"routes":[
-  {"name":"r1","host":"a.example","prefix":"/s/","kind":"streaming",
-   "timeout_ms":10000,"target_latency_ms":300,"priority":1,
-   "traffic_split":[{"service":"x","weight":90},{"service":"y","weight":10}],
-   "max_attempts":2,"public":false,"resumable":true,"gap_aim_ms":200}],
-  "services":[{"name":"x","engine":{"slots":16,"kv_capacity":450000,
-   "stride":46,"step_ms":0.925,"per_seq_ms":0.00483,"context_per_k":0.00254,
-   "read_per_s":256000.0,"pairs_per_m":0.0917,"chunk":2048,
-   "usual":{"prompt":13199,"answer":1541}}},{"name":"y"}],
-  "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,
-   "header_timeout_ms":3000,"idle_timeout_ms":15000},
-  "tenants":[{"name":"w","api_keys":["k1","k2"],"priority":1}]})";
-
 std::string without(const std::string &text, const std::string &part,
                     const std::string &instead) {
   std::string result = text;
@@ -52,7 +41,7 @@
   std::shared_ptr<const core::routes::RoutingConfig> config;
   leaf::try_handle_all(
       [&]() -> leaf::result<void> {
-        BOOST_LEAF_ASSIGN(config, decodeConfig(Config));
+        BOOST_LEAF_ASSIGN(config, decodeConfig(SampleConfig));
         return {};
       },
       [] {});
@@ -69,7 +58,7 @@
   LONGS_EQUAL(46, config->service("x")->Engine->StepsPerPass);
   LONGS_EQUAL(1541, config->service("x")->Engine->UsualAnswerTokens);
   CHECK_FALSE(config->service("y")->Engine.has_value());
-  STRCMP_EQUAL(Config, config->source().c_str());
+  STRCMP_EQUAL(SampleConfig, config->source().c_str());
 }
 
 TEST(ConfigCodec, TurnsAwayWhatCanNotBeRead) {
@@ -90,7 +79,7 @@
       {"{\"version\"", "[\"version\"", "configuration"},
   };
   for (const Case &it : cases) {
-    const std::string text = without(Config, it.Part, it.Instead);
+    const std::string text = without(SampleConfig, it.Part, it.Instead);
     STRCMP_EQUAL(it.Where, stumble([&] { return decodeConfig(text); }).c_str());
   }
 }
--- a/tests/platform/test_decoders.cpp
+++ b/tests/platform/test_decoders.cpp
@@ -6,6 +6,7 @@
 #include "platform/json_reader.h"
 #include "platform/row_codec.h"
 #include "tests/support/request_fixture.h"
+#include "tests/support/wire_samples.h"
 
 #include <array>
 #include <random>
@@ -15,6 +16,7 @@
 
 using namespace orioletally;
 using orioletally::tests::at;
+using orioletally::tests::SampleConfig;
 namespace leaf = boost::leaf;
 
 namespace {
@@ -88,18 +90,6 @@
   return count;
 }
 
-constexpr const char *Config = R"({"version":7,"routes":[
-  {"name":"r1","host":"a.example","prefix":"/s/","kind":"streaming",
-   "timeout_ms":10000,"target_latency_ms":300,"priority":1,
-   "traffic_split":[{"service":"x","weight":90},{"service":"y","weight":10}],
-   "max_attempts":2,"public":false,"resumable":true,"gap_aim_ms":200}],
-  "services":[{"name":"x","engine":{"slots":16,"kv_capacity":450000,
-   "stride":46,"step_ms":0.925,"per_seq_ms":0.00483,"context_per_k":0.00254,
-   "read_per_s":256000.0,"pairs_per_m":0.0917,"chunk":2048}},{"name":"y"}],
-  "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,
-   "header_timeout_ms":3000,"idle_timeout_ms":15000},
-  "tenants":[{"name":"w","api_keys":["k1","k2"],"priority":1}]})";
-
 constexpr const char *Backend =
     R"({"service":"x","address":"10.0.0.1:80","zone":"z","slots":16,)"
     R"("state":"ready","born":1764800000000,"cold_remaining_ms":0})";
@@ -115,8 +105,9 @@
 TEST_GROUP(Decoders){};
 
 TEST(Decoders, AnyBytesAreAConfigurationOrAnErrorThatSaysWhere) {
-  const int count = readable(
-      Config, [](const std::string &it) { return platform::decodeConfig(it); });
+  const int count = readable(SampleConfig, [](const std::string &it) {
+    return platform::decodeConfig(it);
+  });
   CHECK(count > 0 && count < Mutations);
 }
 
