--- a/drivers/relay/peer_link.cpp
+++ b/drivers/relay/peer_link.cpp
@@ -23,7 +23,7 @@
 /// engine; this is about the way to another availability zone.
 constexpr absl::Duration SentWithin = absl::Milliseconds(3);
 /// What has ended only makes room; it waits for other news.
-constexpr absl::Duration EndedWithin = absl::Milliseconds(40);
+constexpr absl::Duration EndedWithin = absl::Milliseconds(100);
 /// Nodes say at least this often that they are there.
 constexpr absl::Duration BeatEvery = absl::Seconds(1);
 /// A node that says nothing for this long isn't told anything.
