Drop what another node saw removed in calm at once

The store turned this node away and served the others; a removal that another node passed on was taken for an entry that expires in an outage and used for 2.3 s more.

Ruled out: the store's own news (it was turned away until 23.5 s), a lost message (the change was logged 9 ms after the others').

Change: a removal counts when the node that the store told says so.

Tests: BackendDirectory ARemovalThatAnotherNodeSawInCalmCountsAtOnce.

--- a/core/fleet/backend_directory.cpp
+++ b/core/fleet/backend_directory.cpp
@@ -77,6 +77,15 @@
   return removeAt(id, now, now);
 }
 
+DirectoryChange BackendDirectory::apply(const BackendChange &change,
+                                        ChangeSource source, absl::Time now) {
+  if (!change.Removed)
+    return put(change.Entry, now);
+  return source == ChangeSource::Node
+             ? removeAt(change.Entry.Id, now + change.GoneIn, now)
+             : remove(change.Entry.Id, now);
+}
+
 DirectoryChange BackendDirectory::removeAt(std::string_view id,
                                            absl::Time goneAt, absl::Time now) {
   const auto found = Servers.find(id);
--- a/core/fleet/backend_directory.h
+++ b/core/fleet/backend_directory.h
@@ -48,6 +48,15 @@
 /// Returns the name of \p change in logs.
 std::string_view directoryChangeName(DirectoryChange change);
 
+/// Who tells of a change of the list.
+enum class ChangeSource {
+  /// The store itself.
+  Store,
+  /// Another node, which the store told: its view of when a removal counts
+  /// holds, also while the store doesn't answer this node.
+  Node,
+};
+
 /// The backend servers that this node knows, kept up to date from the
 /// platform's list.
 ///
@@ -62,10 +71,9 @@
   /// The entry \p id is no longer in the list.
   DirectoryChange remove(std::string_view id, absl::Time now);
 
-  /// The entry \p id is no longer in the list and stops counting at \p goneAt,
-  /// by what another node knows.
-  DirectoryChange removeAt(std::string_view id, absl::Time goneAt,
-                           absl::Time now);
+  /// Takes in \p change as \p source tells of it.
+  DirectoryChange apply(const BackendChange &change, ChangeSource source,
+                        absl::Time now);
 
   /// Sets the nodes among which the backend servers are divided.
   void setNodes(std::string self, std::vector<NodePlace> nodes);
@@ -107,6 +115,8 @@
   static uint64_t hashOf(std::string_view id);
 
 private:
+  DirectoryChange removeAt(std::string_view id, absl::Time goneAt,
+                           absl::Time now);
   DirectoryChange putRanked(BackendEntry entry, absl::Time now);
   /// Works out anew what belongs to the cell, and the orders.
   void rank();
--- a/drivers/relay/fleet_view.cpp
+++ b/drivers/relay/fleet_view.cpp
@@ -10,6 +10,7 @@
 
 using core::fleet::BackendChange;
 using core::fleet::BackendEntry;
+using core::fleet::ChangeSource;
 using core::fleet::DirectoryChange;
 using core::platform::FleetTopic;
 
@@ -50,7 +51,7 @@
 
 void FleetView::backendsChanged(std::vector<BackendChange> changes) {
   const uint64_t since = Position.fed(changes.back().Entry.RowVersion);
-  applyNew(changes);
+  applyNew(changes, ChangeSource::Store);
   if (TellBackends)
     TellBackends(since, changes);
 }
@@ -58,38 +59,36 @@
 void FleetView::takeBackends(uint64_t since,
                              std::vector<BackendChange> changes) {
   if (Position.canTake(since))
-    applyNew(changes);
+    applyNew(changes, ChangeSource::Node);
 }
 
-void FleetView::applyNew(std::vector<BackendChange> &changes) {
+void FleetView::applyNew(std::vector<BackendChange> &changes,
+                         ChangeSource source) {
   const absl::Time now = clock::steadyNow();
+  core::fleet::BackendDirectory &directory = Context.Calls.directory();
   for (BackendChange &it : changes) {
     if (Position.isNew(it.Entry.RowVersion)) {
       Position.took(it.Entry.RowVersion);
-      if (it.Removed)
-        remove(it, now);
-      else
-        logBackend(it.Entry, Context.Calls.directory().put(it.Entry, now));
+      apply(it, source, now);
     }
     // Who hears of it from this node mustn't drop it sooner.
-    const auto kept = Context.Calls.directory().find(it.Entry.Id);
+    const auto kept = directory.find(it.Entry.Id);
     if (it.Removed && kept != nullptr)
       it.GoneIn = kept->GoneAt - now;
   }
 }
 
-void FleetView::remove(const BackendChange &change, absl::Time now) {
+void FleetView::apply(const BackendChange &change, ChangeSource source,
+                      absl::Time now) {
   core::fleet::BackendDirectory &directory = Context.Calls.directory();
-  BackendEntry gone = change.Entry;
-  if (const auto server = directory.find(gone.Id))
-    gone = server->Entry;
-  const DirectoryChange made =
-      change.GoneIn > absl::ZeroDuration()
-          ? directory.removeAt(gone.Id, now + change.GoneIn, now)
-          : directory.remove(gone.Id, now);
+  BackendEntry entry = change.Entry;
+  const auto known = directory.find(entry.Id);
+  if (change.Removed && known != nullptr)
+    entry = known->Entry;
+  const DirectoryChange made = directory.apply(change, source, now);
   if (made == DirectoryChange::Gone)
-    Context.Channels.drop(gone.Address);
-  logBackend(gone, made);
+    Context.Channels.drop(entry.Address);
+  logBackend(entry, made);
 }
 
 void FleetView::logBackend(const BackendEntry &entry, DirectoryChange change) {
--- a/drivers/relay/fleet_view.h
+++ b/drivers/relay/fleet_view.h
@@ -1,6 +1,7 @@
 #ifndef ORIOLETALLY_DRIVERS_RELAY_FLEET_VIEW_H
 #define ORIOLETALLY_DRIVERS_RELAY_FLEET_VIEW_H
 
+#include "core/fleet/backend_directory.h"
 #include "core/fleet/list_position.h"
 #include "core/platform/fleet_source.h"
 #include "drivers/relay/relay_context.h"
@@ -87,8 +88,10 @@
   };
 
   /// Puts the changes in force that aren't known; fills in when removals count.
-  void applyNew(std::vector<core::fleet::BackendChange> &changes);
-  void remove(const core::fleet::BackendChange &change, absl::Time now);
+  void applyNew(std::vector<core::fleet::BackendChange> &changes,
+                core::fleet::ChangeSource source);
+  void apply(const core::fleet::BackendChange &change,
+             core::fleet::ChangeSource source, absl::Time now);
 
   void logBackend(const core::fleet::BackendEntry &entry,
                   core::fleet::DirectoryChange change);
--- a/tests/core/test_backend_directory.cpp
+++ b/tests/core/test_backend_directory.cpp
@@ -103,3 +103,37 @@
   for (const char *id : {"a", "b", "c", "d"})
     DOUBLES_EQUAL(directory.find(id)->Rank, other.find(id)->Rank, 0);
 }
+
+TEST(BackendDirectory, ARemovalThatAnotherNodeSawInCalmCountsAtOnce) {
+  // The store turns this node away and serves the others: what they tell of
+  // isn't an entry that expired in an outage.
+  directory.put(entry("a", 1), at(0));
+  directory.put(entry("b", 1), at(0));
+  directory.listLost(at(10'000));
+  BackendChange change;
+  change.Entry.Id = "a";
+  change.Entry.RowVersion = 7;
+  change.Removed = true;
+  CHECK(directory.apply(change, ChangeSource::Node, at(12'000)) ==
+        DirectoryChange::Gone);
+  LONGS_EQUAL(1, usable(at(12'000)));
+  // One that the other node keeps for a while is kept here as long.
+  change.Entry.Id = "b";
+  change.GoneIn = absl::Milliseconds(700);
+  CHECK(directory.apply(change, ChangeSource::Node, at(12'000)) ==
+        DirectoryChange::Changed);
+  LONGS_EQUAL(1, usable(at(12'699)));
+  LONGS_EQUAL(0, usable(at(12'700)));
+}
+
+TEST(BackendDirectory, ARemovalThatTheStoreTellsOfAfterAnOutageWaits) {
+  directory.put(entry("a", 1), at(0));
+  directory.listLost(at(10'000));
+  directory.listBack(at(20'000));
+  BackendChange change;
+  change.Entry.Id = "a";
+  change.Removed = true;
+  CHECK(directory.apply(change, ChangeSource::Store, at(20'050)) ==
+        DirectoryChange::Changed);
+  LONGS_EQUAL(1, usable(at(20'060)));
+}
