Wait until a frozen node has stopped before the test goes on

The test took the signal's return for the freeze.

Change: freeze() waits until every thread has stopped and the tests check that it did; nothing else is asked of the product than before.

--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -22,6 +22,7 @@
 using std::chrono::steady_clock;
 
 constexpr auto Pause = milliseconds(10);
+constexpr auto FreezeBound = milliseconds(2'000);
 constexpr int StandardOutput = 1;
 constexpr int StandardError = 2;
 
@@ -72,6 +73,27 @@
 
 void ChildProcess::signal(int number) const { ::kill(Pid, number); }
 
+bool ChildProcess::freeze() const {
+  signal(SIGSTOP);
+  const std::string tasks = "/proc/" + std::to_string(Pid) + "/task";
+  const auto until = steady_clock::now() + FreezeBound;
+  while (steady_clock::now() < until) {
+    bool isStopped = true;
+    for (const auto &it : std::filesystem::directory_iterator(tasks)) {
+      std::ifstream in(it.path() / "stat");
+      const std::string text(std::istreambuf_iterator<char>(in), {});
+      // The state follows the name, which stands in parentheses.
+      const size_t at = text.rfind(')');
+      isStopped = isStopped && at != std::string::npos &&
+                  text.size() > at + 2 && text[at + 2] == 'T';
+    }
+    if (isStopped)
+      return true;
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  return false;
+}
+
 int ChildProcess::waitExit(milliseconds bound) {
   const auto until = steady_clock::now() + bound;
   while (!Ended && steady_clock::now() < until) {
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -28,6 +28,10 @@
   bool isStarted() const { return Pid > 0; }
   void signal(int number) const;
 
+  /// Sends SIGSTOP and waits until every thread has stopped: on a busy machine
+  /// they run on for a while. Returns whether they have.
+  bool freeze() const;
+
   /// Waits for the end and returns the exit code, or -1 when it was killed or
   /// didn't end in time.
   int waitExit(std::chrono::milliseconds bound);
--- a/tests/support/node_process.h
+++ b/tests/support/node_process.h
@@ -32,6 +32,7 @@
   bool waitReady(std::chrono::milliseconds bound);
 
   void signal(int number) const { Process.signal(number); }
+  bool freeze() const { return Process.freeze(); }
 
   /// Waits for the end and returns the exit code, or -1 when it was killed or
   /// didn't end in time.
--- a/tests/system/test_faults.cpp
+++ b/tests/system/test_faults.cpp
@@ -196,7 +196,7 @@
 TEST(Faults, LeavingBackendGetsNothingAfterThreeSeconds) {
   start(2, 3);
   NodeProcess &frozen = node(2);
-  frozen.signal(SIGSTOP);
+  CHECK(frozen.freeze());
   lab::PlatformFaults outage;
   outage.Outage = true;
   outage.VmListOutage = true;
@@ -282,7 +282,7 @@
   start(1, 3);
   BackgroundLoad load(planFor(node(0), 300), 3);
   CHECK(eventually([&] { return fleet->Engines[0]->submits() == 3; }));
-  node(0).signal(SIGSTOP);
+  CHECK(node(0).freeze());
   std::this_thread::sleep_for(seconds(4));
   node(0).signal(SIGCONT);
   for (const LoadSample &it : load.wait())
@@ -316,7 +316,7 @@
 
 TEST(Faults, ChangeIsCommittedNotAcceptedWhileANodeIsFrozen) {
   start(1, 3);
-  node(2).signal(SIGSTOP);
+  CHECK(node(2).freeze());
   const HttpAnswer changed =
       httpCall(node(0).address(), "PUT", "/v1/profiles/p", "operator",
                R"({"priority":3})", {{"If-Match", "\"1\""}});
@@ -493,7 +493,7 @@
   uint64_t revision = 1;
   for (int round = 0; round < rounds; ++round) {
     if (round % 4 == 1)
-      node(2).signal(SIGSTOP);
+      CHECK(node(2).freeze());
     lab::PlatformFaults faults;
     faults.LoseReplyPercent = round % 3 == 2 ? 50 : 0;
     fleet->Platform->setFaults(faults);
