Leave a node that has just started its repeats

Until the list of nodes was read the bound on repeats was shared by 330 nodes, which leaves none to a fleet with a slack of 50; the list is read four round trips after the configuration, and the test's first call came before.

A node knows its configuration and the list from the same store within about 40 ms.

Ruled out: waiting with readiness for the list; a node that can't read it serves without.

--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -35,9 +35,6 @@
 constexpr auto DrainStep = std::chrono::milliseconds(50);
 constexpr auto UpkeepEvery = std::chrono::seconds(1);
 constexpr auto DutyEvery = std::chrono::milliseconds(250);
-/// Nodes that share the bound on repeats until their list has been read: as
-/// many as the largest fleet that is planned for.
-constexpr size_t UnknownFleetNodes = 330;
 /// Files besides connections: logs, timers, the event loop, peers.
 constexpr int64_t ReservedFiles = 256;
 /// Part of the bound on repeats that is used: nodes that start or go count
@@ -158,7 +155,6 @@
         Signals(Loop, SIGTERM, SIGINT), Reload(Loop, SIGHUP) {
     Calls.setNews(
         [this](const core::relay::PromptNews &it) { Peers.tell(it); });
-    Calls.setNodes(UnknownFleetNodes);
     View.setNews([this] { Peers.tellConfig(); });
     View.setBackendNews([this](uint64_t since, const auto &changes) {
       Peers.tellBackends(since, changes);
