Hash names in one place, rank once a change, keep what is followed once

Cause, found by reading the change: CellPlan, FollowDuty and BackendDirectory each had the same hash of a name; a whole read that drops several backend servers worked the orders out anew for each of them and once more; the node kept beside the store's source which topics it follows. The help text of the metric of nodes still said what was counted before.

Change: core/fleet/name_hash; the directory's steps mark the orders stale and its public calls work them out once; setFollowing() says whether it changed anything. No behaviour changes.

--- a/core/fleet/backend_directory.cpp
+++ b/core/fleet/backend_directory.cpp
@@ -1,10 +1,11 @@
 #include "core/fleet/backend_directory.h"
 
+#include "core/fleet/name_hash.h"
+
 #include <absl/container/flat_hash_set.h>
 #include <algorithm>
 #include <array>
 #include <utility>
-#include <xxhash.h>
 
 namespace orioletally::core::fleet {
 
@@ -23,19 +24,16 @@
   return ChangeNames[static_cast<size_t>(change)];
 }
 
-uint64_t BackendDirectory::hashOf(std::string_view id) {
-  return XXH3_64bits(id.data(), id.size());
-}
+uint64_t BackendDirectory::hashOf(std::string_view id) { return nameHash(id); }
 
 DirectoryChange BackendDirectory::put(BackendEntry entry, absl::Time now) {
-  const DirectoryChange change = putRanked(std::move(entry), now);
-  if (IsRankStale)
-    rank();
+  const DirectoryChange change = putUnranked(std::move(entry), now);
+  rankIfStale();
   return change;
 }
 
-DirectoryChange BackendDirectory::putRanked(BackendEntry entry,
-                                            absl::Time now) {
+DirectoryChange BackendDirectory::putUnranked(BackendEntry entry,
+                                              absl::Time now) {
   const auto found = Servers.find(entry.Id);
   if (found == Servers.end() || now >= found->second->GoneAt) {
     auto added = std::make_shared<BackendServer>();
@@ -67,6 +65,13 @@
 }
 
 DirectoryChange BackendDirectory::remove(std::string_view id, absl::Time now) {
+  const DirectoryChange change = removeUnranked(id, now);
+  rankIfStale();
+  return change;
+}
+
+DirectoryChange BackendDirectory::removeUnranked(std::string_view id,
+                                                 absl::Time now) {
   const auto found = Servers.find(id);
   if (found == Servers.end())
     return DirectoryChange::None;
@@ -81,9 +86,12 @@
                                         ChangeSource source, absl::Time now) {
   if (!change.Removed)
     return put(change.Entry, now);
-  return source == ChangeSource::Node
-             ? removeAt(change.Entry.Id, now + change.GoneIn, now)
-             : remove(change.Entry.Id, now);
+  if (source == ChangeSource::Store)
+    return remove(change.Entry.Id, now);
+  const DirectoryChange made =
+      removeAt(change.Entry.Id, now + change.GoneIn, now);
+  rankIfStale();
+  return made;
 }
 
 DirectoryChange BackendDirectory::removeAt(std::string_view id,
@@ -95,7 +103,7 @@
   if (goneAt > now)
     return DirectoryChange::Changed;
   Servers.erase(found);
-  rank();
+  IsRankStale = true;
   return DirectoryChange::Gone;
 }
 
@@ -112,15 +120,15 @@
   absl::flat_hash_set<std::string> listed;
   for (BackendEntry &it : entries) {
     listed.insert(it.Id);
-    putRanked(std::move(it), now);
+    putUnranked(std::move(it), now);
   }
   std::vector<std::string> missing;
   for (const auto &[id, server] : Servers)
     if (!listed.contains(id) && server->GoneAt == absl::InfiniteFuture())
       missing.push_back(id);
   for (const std::string &id : missing)
-    remove(id, now);
-  rank();
+    removeUnranked(id, now);
+  rankIfStale();
 }
 
 void BackendDirectory::listLost(absl::Time /*now*/) { IsListLost = true; }
@@ -177,6 +185,11 @@
   return result;
 }
 
+void BackendDirectory::rankIfStale() {
+  if (IsRankStale)
+    rank();
+}
+
 void BackendDirectory::rank() {
   IsRankStale = false;
   ByHash.clear();
--- a/core/fleet/backend_directory.h
+++ b/core/fleet/backend_directory.h
@@ -115,9 +115,12 @@
   static uint64_t hashOf(std::string_view id);
 
 private:
+  // These leave the orders to whoever calls them, to be worked out once.
+  DirectoryChange putUnranked(BackendEntry entry, absl::Time now);
+  DirectoryChange removeUnranked(std::string_view id, absl::Time now);
   DirectoryChange removeAt(std::string_view id, absl::Time goneAt,
                            absl::Time now);
-  DirectoryChange putRanked(BackendEntry entry, absl::Time now);
+  void rankIfStale();
   /// Works out anew what belongs to the cell, and the orders.
   void rank();
   void divide(std::vector<std::shared_ptr<BackendServer>> &servers) const;
--- a/core/fleet/cell_plan.cpp
+++ b/core/fleet/cell_plan.cpp
@@ -1,19 +1,16 @@
 #include "core/fleet/cell_plan.h"
 
+#include "core/fleet/name_hash.h"
+
 #include <algorithm>
 #include <map>
 #include <set>
 #include <utility>
-#include <xxhash.h>
 
 namespace orioletally::core::fleet {
 
 namespace {
 
-uint64_t hashOf(std::string_view text) {
-  return XXH3_64bits(text.data(), text.size());
-}
-
 struct Region {
   std::set<std::string> Zones;
   std::set<std::string> Names;
@@ -47,7 +44,7 @@
         region.Names.size(), backends * region.Names.size() / nodes.size());
     std::vector<std::vector<std::string>> members(count);
     for (const std::string &name : region.Names)
-      members[hashOf(name) % count].push_back(name);
+      members[nameHash(name) % count].push_back(name);
     for (size_t n = 0; n < count; ++n) {
       if (std::find(members[n].begin(), members[n].end(), self) !=
           members[n].end()) {
@@ -88,8 +85,8 @@
   for (size_t n = 0; n < order.size(); ++n)
     order[n] = n;
   std::sort(order.begin(), order.end(), [&](size_t l, size_t r) {
-    return std::pair(hashOf(backends[l].Id), l) <
-           std::pair(hashOf(backends[r].Id), r);
+    return std::pair(nameHash(backends[l].Id), l) <
+           std::pair(nameHash(backends[r].Id), r);
   });
   // Cells take from their own region first, then from what is left over.
   for (const bool isAnyRegion : {false, true}) {
@@ -104,7 +101,7 @@
                                       backends[n].Zone) != zones.end();
         if (left[cell] == 0 || (!isAnyRegion && !isNear))
           continue;
-        const uint64_t hash = hashOf(Cells[cell].Name + backends[n].Id);
+        const uint64_t hash = nameHash(Cells[cell].Name + backends[n].Id);
         if (best != Cells.size() && hash <= bestHash)
           continue;
         best = cell;
--- a/core/fleet/follow_duty.cpp
+++ b/core/fleet/follow_duty.cpp
@@ -1,20 +1,13 @@
 #include "core/fleet/follow_duty.h"
 
+#include "core/fleet/name_hash.h"
+
 #include <algorithm>
-#include <xxhash.h>
 
 namespace orioletally::core::fleet {
 
-namespace {
-
-uint64_t orderOf(const std::string &name) {
-  return XXH3_64bits(name.data(), name.size());
-}
-
-} // namespace
-
 void FollowDuty::setCell(const std::vector<std::string> &members) {
-  SelfOrder = orderOf(Self);
+  SelfOrder = nameHash(Self);
   std::map<std::string, Peer> fresh;
   for (const std::string &it : members) {
     if (it == Self)
@@ -25,7 +18,7 @@
       continue;
     }
     Peer peer;
-    peer.Order = orderOf(it);
+    peer.Order = nameHash(it);
     peer.FollowedAt.fill(absl::InfinitePast());
     fresh.emplace(it, peer);
   }
--- a/core/platform/fleet_source.h
+++ b/core/platform/fleet_source.h
@@ -75,8 +75,8 @@
   virtual void stop() = 0;
 
   /// Sets whether changes of \p topic are followed, which they are at first,
-  /// or this node hears of them from others.
-  virtual void setFollowing(FleetTopic topic, bool isWanted) = 0;
+  /// or this node hears of them from others. Returns whether that is a change.
+  virtual bool setFollowing(FleetTopic topic, bool isWanted) = 0;
 
   /// Reads \p topic once, soon, unless that is being done.
   virtual void refresh(FleetTopic topic) = 0;
--- a/drivers/metrics/relay_metrics.cpp
+++ b/drivers/metrics/relay_metrics.cpp
@@ -68,7 +68,7 @@
       Backends(gauge(Registry, "orioletally_backends",
                      "Backend servers that are known.")),
       Nodes(gauge(Registry, "orioletally_nodes",
-                  "Entry nodes heard from of late, this one included.")),
+                  "Entry nodes on the list, this one included.")),
       LogLinesDropped(gauge(Registry, "orioletally_log_lines_dropped",
                             "Log lines that were left out under load.")),
       Strangers(gauge(Registry, "orioletally_peer_strangers",
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -13,7 +13,6 @@
 #include "platform/wire_names.h"
 
 #include <algorithm>
-#include <array>
 #include <boost/asio/signal_set.hpp>
 #include <fmt/format.h>
 #include <random>
@@ -227,10 +226,8 @@
   }
 
   void follow(FleetTopic topic, bool isWanted) {
-    bool &known = IsFollowing[static_cast<size_t>(topic)];
-    if (std::exchange(known, isWanted) == isWanted)
+    if (!Source.setFollowing(topic, isWanted))
       return;
-    Source.setFollowing(topic, isWanted);
     drivers::log::write(drivers::log::Level::Info, "follow_duty",
                         {{"topic", core::platform::fleetTopicName(topic)},
                          {"follows", isWanted}});
@@ -383,8 +380,6 @@
   drivers::http::HttpServer MetricsServer;
   asio::signal_set Signals;
   asio::signal_set Reload;
-  std::array<bool, core::platform::FleetTopics> IsFollowing = {true, true,
-                                                               true};
   uint64_t StrangersReported = 0;
   bool IsWhole = true;
 };
