--- a/tests/lab/store_server.cpp
+++ b/tests/lab/store_server.cpp
@@ -68,6 +68,32 @@
   return rows->second.at(key).Value;
 }
 
+std::optional<int> StoreServer::firstWaitMs(const std::string &table) const {
+  const std::lock_guard lock(Guard);
+  const auto found = FirstWaits.find(table);
+  if (found == FirstWaits.end())
+    return std::nullopt;
+  return found->second;
+}
+
+void StoreServer::forgetWaits() {
+  const std::lock_guard lock(Guard);
+  FirstWaits.clear();
+}
+
+void StoreServer::delayReads(const std::string &table,
+                             std::chrono::milliseconds time) {
+  const std::lock_guard lock(Guard);
+  ReadDelays[table] = time;
+}
+
+std::chrono::milliseconds StoreServer::delayOf(const std::string &table) const {
+  const std::lock_guard lock(Guard);
+  const auto found = ReadDelays.find(table);
+  return found == ReadDelays.end() ? std::chrono::milliseconds(0)
+                                   : found->second;
+}
+
 void StoreServer::compact() {
   const std::lock_guard lock(Guard);
   History.clear();
@@ -111,6 +137,7 @@
   std::string body;
   if (request.Target.find("rows-get") != std::string::npos) {
     body = read(table);
+    std::this_thread::sleep_for(delayOf(table));
   } else if (request.Target.find("rows-feed") != std::string::npos) {
     body =
         follow(table,
@@ -147,6 +174,7 @@
 std::string StoreServer::follow(const std::string &table, uint64_t since,
                                 int waitMs, int &status) {
   std::unique_lock lock(Guard);
+  FirstWaits.emplace(table, waitMs);
   const auto news = [&] {
     json rows = json::array();
     for (const Change &it : History) {
--- a/tests/lab/store_server.h
+++ b/tests/lab/store_server.h
@@ -4,11 +4,13 @@
 #include "tests/lab/raw_server.h"
 
 #include <atomic>
+#include <chrono>
 #include <condition_variable>
 #include <cstdint>
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -36,7 +38,13 @@
   /// Forgets what has changed before now.
   void compact();
   void setFault(StoreFault wanted) { Fault = wanted; }
+  /// Reads of \p table are answered \p time later from now on.
+  void delayReads(const std::string &table, std::chrono::milliseconds time);
   uint64_t calls() const { return Calls; }
+  /// How long the first call since forgetWaits() that follows \p table was
+  /// willing to wait for changes; empty before it.
+  std::optional<int> firstWaitMs(const std::string &table) const;
+  void forgetWaits();
 
 private:
   struct Change {
@@ -48,6 +56,7 @@
   };
 
   bool handle(const RawRequest &request, const RawConnection &connection);
+  std::chrono::milliseconds delayOf(const std::string &table) const;
   std::string read(const std::string &table) const;
   std::string follow(const std::string &table, uint64_t since, int waitMs,
                      int &status);
@@ -65,6 +74,10 @@
   uint64_t KeptFrom = 0;
   std::map<std::string, std::map<std::string, Change>> Tables;
   std::vector<Change> History;
+  /// By table.
+  std::map<std::string, std::chrono::milliseconds> ReadDelays;
+  /// By table: what the first call since forgetWaits() was willing to wait.
+  std::map<std::string, int> FirstWaits;
   std::atomic<StoreFault> Fault = StoreFault::None;
   std::atomic<uint64_t> Calls = 0;
   std::atomic<bool> Stopping = false;
--- a/tests/platform/test_relay.cpp
+++ b/tests/platform/test_relay.cpp
@@ -579,6 +579,20 @@
   STRCMP_EQUAL("", fixture.Store.value("entry-nodes", "n1").c_str());
 }
 
+TEST(Relay, ANodeThatEndsBeforeItHasReadItsRowTakesItOffTheList) {
+  fixture.Store.delayReads("entry-nodes", std::chrono::milliseconds(200));
+  fixture.Process.start({"entry", "--settings", fixture.writeSettings("")});
+  CHECK(within(15'000, [&] {
+    return !fixture.Store.value("entry-nodes", "n1").empty();
+  }));
+  fixture.Process.signal(SIGTERM);
+  const auto forgotten =
+      fixture.Process.waitEvent("node_forgotten", std::chrono::seconds(2));
+  CHECK(forgotten.has_value());
+  CHECK((*forgotten)["removed"].get<bool>());
+  STRCMP_EQUAL("", fixture.Store.value("entry-nodes", "n1").c_str());
+}
+
 TEST(Relay, ARowThatWasWrittenAnewIsLeft) {
   StandInBackend backend(scripts::answer("hello"));
   fixture.list("i-1", "plain", backend.address());
