--- a/core/fleet/backend_directory.cpp
+++ b/core/fleet/backend_directory.cpp
@@ -88,8 +88,14 @@
     return put(change.Entry, now);
   if (source == ChangeSource::Store)
     return remove(change.Entry.Id, now);
-  const DirectoryChange made =
-      removeAt(change.Entry.Id, now + change.GoneIn, now);
+  const auto found = Servers.find(change.Entry.Id);
+  if (found == Servers.end() ||
+      found->second->Entry.RowVersion > change.Entry.RowVersion)
+    return DirectoryChange::None;
+  const absl::Time goneAt = now + change.GoneIn;
+  if (goneAt >= found->second->GoneAt)
+    return DirectoryChange::None;
+  const DirectoryChange made = removeAt(change.Entry.Id, goneAt, now);
   rankIfStale();
   return made;
 }
--- a/drivers/relay/fleet_view.cpp
+++ b/drivers/relay/fleet_view.cpp
@@ -67,10 +67,12 @@
   const absl::Time now = clock::steadyNow();
   core::fleet::BackendDirectory &directory = Context.Calls.directory();
   for (BackendChange &it : changes) {
-    if (Position.isNew(it.Entry.RowVersion)) {
+    const bool isNew = Position.isNew(it.Entry.RowVersion);
+    if (isNew)
       Position.took(it.Entry.RowVersion);
+    // Another node may know that a removal needn't be waited for.
+    if (isNew || it.Removed)
       apply(it, source, now);
-    }
     // Who hears of it from this node mustn't drop it sooner.
     const auto kept = directory.find(it.Entry.Id);
     if (it.Removed && kept != nullptr)
--- a/tests/core/test_backend_directory.cpp
+++ b/tests/core/test_backend_directory.cpp
@@ -126,6 +126,37 @@
   LONGS_EQUAL(0, usable(at(12'700)));
 }
 
+TEST(BackendDirectory, ANodeThatWasCutOffBelievesAnotherThatSawTheRemoval) {
+  // Only this node had lost the store, whose own word comes first.
+  directory.put(entry("a", 1), at(0));
+  directory.listLost(at(10'000));
+  directory.listBack(at(20'000));
+  BackendChange change;
+  change.Entry.Id = "a";
+  change.Entry.RowVersion = 7;
+  change.Removed = true;
+  CHECK(directory.apply(change, ChangeSource::Store, at(20'200)) ==
+        DirectoryChange::Changed);
+  LONGS_EQUAL(1, usable(at(20'200)));
+  CHECK(directory.apply(change, ChangeSource::Node, at(20'210)) ==
+        DirectoryChange::Gone);
+  LONGS_EQUAL(0, usable(at(20'210)));
+}
+
+TEST(BackendDirectory, AnOldRemovalDoesNotTakeAwayWhatIsListedAgain) {
+  directory.put(entry("a", 1), at(0));
+  BackendChange change;
+  change.Entry.Id = "a";
+  change.Entry.RowVersion = 7;
+  change.Removed = true;
+  BackendEntry again = entry("a", 1);
+  again.RowVersion = 9;
+  directory.put(again, at(100));
+  CHECK(directory.apply(change, ChangeSource::Node, at(200)) ==
+        DirectoryChange::None);
+  LONGS_EQUAL(1, usable(at(200)));
+}
+
 TEST(BackendDirectory, ARemovalThatTheStoreTellsOfAfterAnOutageWaits) {
   directory.put(entry("a", 1), at(0));
   directory.listLost(at(10'000));
--- a/tests/platform/test_relay.cpp
+++ b/tests/platform/test_relay.cpp
@@ -523,6 +523,20 @@
   }
 }
 
+TEST(Relay, TheStoresReturnIsLearnedFromACallThatDoesNotWait) {
+  StandInBackend backend(scripts::answer("hello"));
+  fixture.list("i-1", "plain", backend.address());
+  CHECK(fixture.start(1));
+  fixture.Store.setFault(lab::StoreFault::Refuse);
+  CHECK(fixture.Process.waitEvent("store_lost", std::chrono::seconds(3))
+            .has_value());
+  fixture.Store.forgetWaits();
+  fixture.Store.setFault(lab::StoreFault::None);
+  CHECK(within(
+      3'000, [&] { return fixture.Store.firstWaitMs("servers").has_value(); }));
+  LONGS_EQUAL(0, *fixture.Store.firstWaitMs("servers"));
+}
+
 TEST(Relay, SettingsAreReadAgainOnSighupAndBadOnesLeaveTheOldInForce) {
   StandInBackend backend(scripts::answer("hello"));
   fixture.list("i-1", "plain", backend.address());
