Let calls wait while a node that has just started reads its fleet

A call that comes before the node knows its fleet waits for that, for half a second from the start and half of its caller's patience at most, and not at all once a call to the store has failed or the node is told to end. core/relay/ StartWait decides, drivers/relay/StartGate holds; the call's log line says start_wait_ms. Test ACallThatComesWhileANodeReadsItsFleetIsServed failed before (503) and passes; a node that can't read its fleet still turns calls away at once.

--- /dev/null
+++ b/core/relay/start_wait.cpp
@@ -0,0 +1,24 @@
+#include "core/relay/start_wait.h"
+
+#include <algorithm>
+
+namespace orioletally::core::relay {
+
+namespace {
+
+/// The configuration and the list of backend servers are two reads of the
+/// store; a store that takes longer for them than this is in trouble.
+constexpr absl::Duration LongestStart = absl::Milliseconds(500);
+/// A call that has waited for longer than this share of its caller's patience
+/// has too little left to be served.
+constexpr double PatienceShare = 0.5;
+
+} // namespace
+
+absl::Time StartWait::waitUntil(absl::Time now, absl::Duration patience) const {
+  if (IsOver)
+    return now;
+  return std::min(StartedAt + LongestStart, now + PatienceShare * patience);
+}
+
+} // namespace orioletally::core::relay
--- a/drivers/relay/call_runner.cpp
+++ b/drivers/relay/call_runner.cpp
@@ -74,7 +74,9 @@
   const CallCount count(Context);
   KeepCaller = Request.keep_alive() && !Context.isDraining();
   Head = Context.Codec.decodeCall(headerViews(Request));
-  const bool isAdmitted = admit();
+  co_await Context.Start.pass(Head.Wait.value_or(absl::InfiniteDuration()));
+  StartDelay = clock::steadyNow() - ArrivedAt;
+  const bool isAdmitted = !Aborted.has_value() && admit();
   // The braces matter: g++ 12 makes a coroutine that traps without them.
   if (isAdmitted) {
     co_await attempts();
@@ -720,6 +722,8 @@
     line["code"] = OwnCode;
     line["rule"] = OwnRule;
   }
+  if (const int64_t ms = absl::ToInt64Milliseconds(StartDelay); ms > 0)
+    line["start_wait_ms"] = ms;
   if (Aborted.has_value())
     line["aborted"] = core::relay::attemptEndName(*Aborted);
   log::write(log::Level::Info, "call", line);
--- a/drivers/relay/call_runner.h
+++ b/drivers/relay/call_runner.h
@@ -124,6 +124,8 @@
   int Status = 0;
   std::string OwnCode;
   std::string OwnRule;
+  /// How long the call waited for the node to know its fleet.
+  absl::Duration StartDelay = absl::ZeroDuration();
   absl::Duration FirstEventAfter = absl::ZeroDuration();
   absl::Duration LongestGap = absl::ZeroDuration();
 };
--- a/drivers/relay/fleet_view.cpp
+++ b/drivers/relay/fleet_view.cpp
@@ -25,6 +25,7 @@
               {"routes", config->routes().size()}});
   Context.Metrics.setConfigVersion(config->version());
   Context.Calls.setConfig(std::move(config));
+  openIfInformed();
   if (Tell)
     Tell();
 }
@@ -47,6 +48,12 @@
   Context.Calls.directory().replace(std::move(entries), clock::steadyNow());
   Context.Metrics.setBackends(
       static_cast<int64_t>(Context.Calls.directory().size()));
+  openIfInformed();
+}
+
+void FleetView::openIfInformed() {
+  if (Context.Calls.isInformed())
+    Context.Start.open();
 }
 
 void FleetView::backendsChanged(std::vector<BackendChange> changes) {
@@ -127,6 +134,9 @@
 void FleetView::topicLost(FleetTopic topic, const std::string &reason) {
   Context.Metrics.storeCall(core::platform::fleetTopicName(topic), false);
   const absl::Time now = clock::steadyNow();
+  // Nobody knows how long a store that fails will go on to.
+  if (topic != FleetTopic::Nodes)
+    Context.Start.open();
   if (topic == FleetTopic::Backends)
     Context.Calls.directory().listLost(now);
   TopicState &state = Topics[static_cast<size_t>(topic)];
--- a/drivers/relay/fleet_view.h
+++ b/drivers/relay/fleet_view.h
@@ -81,6 +81,8 @@
   void takeLeaving(const std::vector<std::string> &ids);
 
 private:
+  /// Lets calls through that came before the fleet was known.
+  void openIfInformed();
   struct TopicState {
     bool IsLost = false;
     absl::Time Since;
--- a/drivers/relay/relay_context.h
+++ b/drivers/relay/relay_context.h
@@ -8,6 +8,7 @@
 #include "drivers/loop/asio_use.h"
 #include "drivers/metrics/relay_metrics.h"
 #include "drivers/relay/backend_channel.h"
+#include "drivers/relay/start_gate.h"
 
 #include <cstdint>
 #include <functional>
@@ -33,6 +34,8 @@
   const core::relay::CallCodec &Codec;
   metrics::RelayMetrics &Metrics;
   const core::charts::StateChart &CallChart;
+  /// Calls that come before the fleet is known wait here.
+  StartGate &Start;
   ChannelPool Channels;
   /// SIGTERM came at this time.
   absl::Time DrainingSince = absl::InfiniteFuture();
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -136,11 +136,13 @@
       : Settings(values), Reread(std::move(reader)),
         CallChart(std::move(chart)),
         Calls(dispatcherSettings(values, incarnation)),
+        Start(Loop, drivers::clock::steadyNow()),
         Context{Loop,
                 Calls,
                 Codec,
                 Metrics,
                 CallChart,
+                Start,
                 {},
                 absl::InfiniteFuture(),
                 0,
@@ -339,6 +341,7 @@
     co_await Signals.async_wait(AsTuple);
     const absl::Time since = drivers::clock::steadyNow();
     Context.DrainingSince = since;
+    Start.open();
     Source.withdraw();
     drivers::log::write(drivers::log::Level::Info, "draining",
                         {{"in_progress", Context.InProgress}});
@@ -370,6 +373,7 @@
   core::relay::Dispatcher Calls;
   platform::HeaderCodec Codec;
   drivers::metrics::RelayMetrics Metrics;
+  drivers::relay::StartGate Start;
   drivers::relay::RelayContext Context;
   drivers::relay::FleetView View;
   core::platform::NodeEntry Self;
--- a/tests/platform/test_relay.cpp
+++ b/tests/platform/test_relay.cpp
@@ -155,6 +155,33 @@
   CHECK_FALSE(answer.header("retry-after").empty());
 }
 
+TEST(Relay, ACallThatComesWhileANodeReadsItsFleetIsServed) {
+  StandInBackend backend(scripts::answer("hello"));
+  fixture.list("i-1", "plain", backend.address());
+  fixture.Store.remove("op", "config");
+  fixture.Process.start({"entry", "--settings", fixture.writeSettings("")});
+  CHECK(
+      fixture.Process.waitEvent("backends_read_whole", std::chrono::seconds(15))
+          .has_value());
+  CallerAnswer answer;
+  std::thread caller([&] { answer = fixture.call("GET", "/read/x"); });
+  std::this_thread::sleep_for(std::chrono::milliseconds(150));
+  fixture.configure(1);
+  caller.join();
+  LONGS_EQUAL(200, answer.Status);
+  STRCMP_EQUAL("hello", answer.Body.c_str());
+  CHECK(fixture.logOf("a1")["start_wait_ms"].get<int>() > 0);
+}
+
+TEST(Relay, ANodeThatCanNotReadItsFleetTurnsCallsAwayAtOnce) {
+  fixture.Store.setFault(lab::StoreFault::Refuse);
+  fixture.Process.start({"entry", "--settings", fixture.writeSettings("")});
+  CHECK(fixture.Process.waitEvent("store_lost", std::chrono::seconds(15))
+            .has_value());
+  LONGS_EQUAL(503, fixture.call("GET", "/read/x").Status);
+  CHECK(fixture.logOf("a1")["ms"].get<int>() < 100);
+}
+
 TEST(Relay, AnIdempotentCallIsMovedAfterAFailure) {
   StandInBackend bad(scripts::bytes(ServerError, false));
   StandInBackend good(scripts::answer("good"));
