Serve short prompts that come up to two objectives late instead of refusing them

Cause: a first token predicted after 1.2 objectives was refused whatever the prompt. One that returns is late anyhow and has no further try, and reading it takes 26 ms whenever it comes.

Prompts that are urgent at engines as well, up to 16,384 tokens, are refused beyond two objectives, others beyond 1.2 as before.

--- a/core/engines/engine_load.h
+++ b/core/engines/engine_load.h
@@ -9,6 +9,10 @@
 
 namespace orioletally::core::engines {
 
+/// Prompts up to this length go before longer ones at an engine that is full:
+/// they are many, and one of the others holds up a hundred of them.
+constexpr int64_t UrgentPromptTokens = 16384;
+
 /// One prompt, or a helper's part of one, that an engine was given.
 struct RunningPrompt {
   /// Unique among all nodes.
--- a/core/relay/dispatcher.cpp
+++ b/core/relay/dispatcher.cpp
@@ -27,6 +27,10 @@
 /// for: the engines would be as busy with it as with one that is in time, and
 /// every later call would be late as well. Its caller is told when to return.
 constexpr double LateFactor = 1.2;
+/// The same for prompts that are urgent. They are soon read, and a caller that
+/// comes back after a refusal has no less to wait, is late then and may have no
+/// further try.
+constexpr double UrgentLateFactor = 2;
 /// Part of a caller's patience that a prediction may use up.
 constexpr double PatienceShare = 0.85;
 
@@ -52,8 +56,10 @@
   const absl::Duration whole =
       std::max({LeastPatience, PatiencePerObjective * route.Objective,
                 PatiencePerGap * route.GapObjective});
+  const bool isUrgent = demand.PromptTokens <= engines::UrgentPromptTokens;
   return std::min({PatienceShare * whole - (now - demand.ArrivedAt),
-                   LateFactor * route.Objective, demand.Deadline - now});
+                   (isUrgent ? UrgentLateFactor : LateFactor) * route.Objective,
+                   demand.Deadline - now});
 }
 
 RequestError noBackend(const std::string &service, absl::Duration comeBackIn) {
--- a/drivers/relay/call_runner.cpp
+++ b/drivers/relay/call_runner.cpp
@@ -38,8 +38,6 @@
 constexpr int MaxInterimAnswers = 16;
 constexpr size_t ReadBufferBytes = 8 << 10;
 constexpr int StatusUnavailable = 503;
-/// Prompts up to this length go before longer ones at an engine that is full.
-constexpr int64_t ShortPromptTokens = 16384;
 constexpr int64_t ShortPriority = 3;
 constexpr int64_t LongPriority = 5;
 /// When to come back to a node that has no configuration yet or is leaving.
@@ -336,8 +334,9 @@
   head.Workspace = Workspace;
   head.ResumeAfter = Events.lastId();
   if (dispatch.Speed != nullptr)
-    head.Priority = dispatch.PromptTokens <= ShortPromptTokens ? ShortPriority
-                                                               : LongPriority;
+    head.Priority = dispatch.PromptTokens <= core::engines::UrgentPromptTokens
+                        ? ShortPriority
+                        : LongPriority;
   for (size_t n = 0; n < dispatch.Helpers.size(); ++n)
     head.Helpers.push_back(
         {dispatch.Helpers[n]->Entry.Address, dispatch.Reserved[n] > 0
