Name helping engines and the told return in the log

Cause: the lines of a call told how many engines helped to read its prompt and not which, so that pauses on those engines couldn't be joined to it, and of a refusal only its rule, not when the caller was told to come back.

Ruled out: the engines' own reports (200 ms old, and each is a probe).

--- a/drivers/relay/call_runner.cpp
+++ b/drivers/relay/call_runner.cpp
@@ -47,6 +47,14 @@
 /// The wait that a backend server is told leaves time for its answer's way.
 constexpr absl::Duration AnswerWay = absl::Milliseconds(5);
 
+nlohmann::json
+idsOf(const std::vector<std::shared_ptr<core::fleet::BackendServer>> &servers) {
+  nlohmann::json ids = nlohmann::json::array();
+  for (const auto &it : servers)
+    ids.push_back(it->Entry.Id);
+  return ids;
+}
+
 /// Counts a call while it runs.
 class CallCount {
 public:
@@ -150,6 +158,7 @@
 void CallRunner::refuse(const RequestError &error) {
   OwnCode = core::errors::errorCodeName(error.Code);
   OwnRule = error.Rule;
+  OwnRetryAfterMs = error.RetryAfterMs;
   Held = errorResponse(error, Head.AttemptId, Context.Codec);
   Context.Metrics.ownAnswer(OwnCode);
 }
@@ -221,7 +230,7 @@
               {"readers", isEngine ? dispatch.Server->Load.readers()
                                    : dispatch.Server->InFlight},
               {"pace", dispatch.Server->Health.pace()},
-              {"helpers", dispatch.Helpers.size()},
+              {"helpers", idsOf(dispatch.Helpers)},
               {"prompt", dispatch.PromptTokens},
               {"predicted_ms",
                absl::ToInt64Milliseconds(dispatch.PredictedFirstToken)}});
@@ -720,6 +729,7 @@
   if (!OwnCode.empty()) {
     line["code"] = OwnCode;
     line["rule"] = OwnRule;
+    line["retry_after_ms"] = OwnRetryAfterMs;
   }
   if (const int64_t ms = absl::ToInt64Milliseconds(StartDelay); ms > 0)
     line["start_wait_ms"] = ms;
--- a/drivers/relay/call_runner.h
+++ b/drivers/relay/call_runner.h
@@ -124,6 +124,7 @@
   int Status = 0;
   std::string OwnCode;
   std::string OwnRule;
+  int64_t OwnRetryAfterMs = 0;
   /// How long the call waited for the node to know its fleet.
   absl::Duration StartDelay = absl::ZeroDuration();
   absl::Duration FirstEventAfter = absl::ZeroDuration();
--- a/tests/platform/test_relay.cpp
+++ b/tests/platform/test_relay.cpp
@@ -324,6 +324,31 @@
   LONGS_EQUAL(1, broken.attempts() + other.attempts());
 }
 
+TEST(Relay, TheLogNamesTheEnginesThatHelpAndWhenRefusedCallersAreToReturn) {
+  StandInBackend engine(scripts::stream(1, 1, 10));
+  for (const char *id : {"e-1", "e-2", "e-3", "e-4"})
+    fixture.list(id, "engine", engine.address());
+  CHECK(fixture.start(4));
+  // Too long for one engine's 300 ms.
+  LONGS_EQUAL(200, fixture
+                       .call("POST", "/ask/x",
+                             "X-Orioletally-Token-Counts: 60000,100\r\n")
+                       .Status);
+  const auto dispatch =
+      fixture.Process.waitEvent("dispatch", std::chrono::seconds(2));
+  CHECK(dispatch.has_value());
+  CHECK((*dispatch)["helpers"].is_array());
+  CHECK_FALSE((*dispatch)["helpers"].empty());
+  CHECK((*dispatch)["helpers"][0].get<std::string>().starts_with("e-"));
+  // Too long for all of them.
+  LONGS_EQUAL(503, fixture
+                       .call("POST", "/ask/x",
+                             "X-Orioletally-Attempt-Id: a2\r\n"
+                             "X-Orioletally-Token-Counts: 900000,100\r\n")
+                       .Status);
+  CHECK(fixture.logOf("a2")["retry_after_ms"].get<int>() > 0);
+}
+
 TEST(Relay, ASilentEngineLosesItsCallBeforeTheCallerLeaves) {
   StandInBackend silent(scripts::silence());
   StandInBackend good(scripts::stream(1, 3, 5));
