Give each node that a test starts a process group of its own

The tests ran in the background of a shell that exited while a node was stopped; the kernel then sends SIGHUP to the shell's orphaned process group, and the nodes were in it.

Ruled out: a crash of the node (signal 1, and all nodes of all runs at once); load (24 runs beside a build passed).

Before: 6 of 6 aborted when the shell exits after a second (status 1, signal 1). What the tests ask is unchanged.

--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -5,6 +5,7 @@
 #include <cstring>
 #include <fcntl.h>
 #include <filesystem>
+#include <fmt/format.h>
 #include <fstream>
 #include <iterator>
 #include <spawn.h>
@@ -59,15 +60,22 @@
                                    O_WRONLY | O_CREAT | O_TRUNC | O_APPEND,
                                    0600);
   posix_spawn_file_actions_adddup2(&actions, StandardOutput, StandardError);
+  // In the test's process group a stopped child would end them all: the kernel
+  // sends SIGHUP to a group that has one and whose shell exits.
+  posix_spawnattr_t attributes;
+  posix_spawnattr_init(&attributes);
+  posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETPGROUP);
+  posix_spawnattr_setpgroup(&attributes, 0);
   std::vector<std::string> all = {ORIOLETALLY_BINARY};
   all.insert(all.end(), words.begin(), words.end());
   std::vector<char *> argv;
   for (std::string &it : all)
     argv.push_back(it.data());
   argv.push_back(nullptr);
-  if (posix_spawn(&Pid, ORIOLETALLY_BINARY, &actions, nullptr, argv.data(),
+  if (posix_spawn(&Pid, ORIOLETALLY_BINARY, &actions, &attributes, argv.data(),
                   environ) != 0)
     Pid = -1;
+  posix_spawnattr_destroy(&attributes);
   posix_spawn_file_actions_destroy(&actions);
 }
 
@@ -77,20 +85,28 @@
   signal(SIGSTOP);
   const std::string tasks = "/proc/" + std::to_string(Pid) + "/task";
   const auto until = steady_clock::now() + FreezeBound;
+  std::string states;
   while (steady_clock::now() < until) {
-    bool isStopped = true;
+    states.clear();
     for (const auto &it : std::filesystem::directory_iterator(tasks)) {
       std::ifstream in(it.path() / "stat");
       const std::string text(std::istreambuf_iterator<char>(in), {});
       // The state follows the name, which stands in parentheses.
       const size_t at = text.rfind(')');
-      isStopped = isStopped && at != std::string::npos &&
-                  text.size() > at + 2 && text[at + 2] == 'T';
+      const bool isRead = at != std::string::npos && text.size() > at + 2;
+      states += isRead ? text[at + 2] : '?';
     }
-    if (isStopped)
+    if (states.find_first_not_of('T') == std::string::npos)
       return true;
     std::this_thread::sleep_for(std::chrono::milliseconds(1));
   }
+  int status = 0;
+  const bool isOver = ::waitpid(Pid, &status, WNOHANG) == Pid;
+  fmt::print(stderr,
+             "process {} isn't stopped, its threads are {}, its end {} (signal "
+             "{})\n{}\n",
+             Pid, states, isOver ? "status " + std::to_string(status) : "none",
+             isOver && WIFSIGNALED(status) ? WTERMSIG(status) : 0, log());
   return false;
 }
 
