Let a node read its row before the test writes it anew

Cause: ARowThatWasWrittenAnewIsLeft failed once in a run of all tests beside lint: no node_forgotten within 2 s. It wrote the row anew and sent SIGTERM as soon as the row was there; a node that hasn't read its row by then finds another start's, has none to remove and says nothing. By reading; that run's log of the node wasn't kept.

Ruled out: a row that is taken off wrongly (the check after it looks at that). Conclusion: the case before was allowed; the row is left either way.

--- a/tests/platform/test_relay.cpp
+++ b/tests/platform/test_relay.cpp
@@ -671,6 +671,8 @@
   CHECK(within(2'000, [&] {
     return !fixture.Store.value("entry-nodes", "n1").empty();
   }));
+  CHECK(fixture.Process.waitEvent("nodes_read", std::chrono::seconds(2))
+            .has_value());
   // The next start of the same VM has registered itself already.
   const std::string next = R"({"peer_address":"127.0.0.1:1","incarnation":9})";
   fixture.Store.put("entry-nodes", "n1", next);
