Let the tests of removals and of a node's row share their steps

removal() makes the change; isListedWithin() and endAndForget() stand in the group. No assertion, bound or literal is changed. Ruled out: sharing encode() of node_news and peer_codec, which write different messages.

Run: core.BackendDirectory 13 of 13, the three tests of Relay, formatter clean. Conclusion: the same checks, said once. All other groups were not run again.

--- a/tests/core/test_backend_directory.cpp
+++ b/tests/core/test_backend_directory.cpp
@@ -20,6 +20,14 @@
   return result;
 }
 
+BackendChange removal(const std::string &id, uint64_t rowVersion) {
+  BackendChange change;
+  change.Entry.Id = id;
+  change.Entry.RowVersion = rowVersion;
+  change.Removed = true;
+  return change;
+}
+
 } // namespace
 
 TEST_GROUP(BackendDirectory) {
@@ -110,10 +118,7 @@
   directory.put(entry("a", 1), at(0));
   directory.put(entry("b", 1), at(0));
   directory.listLost(at(10'000));
-  BackendChange change;
-  change.Entry.Id = "a";
-  change.Entry.RowVersion = 7;
-  change.Removed = true;
+  BackendChange change = removal("a", 7);
   CHECK(directory.apply(change, ChangeSource::Node, at(12'000)) ==
         DirectoryChange::Gone);
   LONGS_EQUAL(1, usable(at(12'000)));
@@ -131,10 +136,7 @@
   directory.put(entry("a", 1), at(0));
   directory.listLost(at(10'000));
   directory.listBack(at(20'000));
-  BackendChange change;
-  change.Entry.Id = "a";
-  change.Entry.RowVersion = 7;
-  change.Removed = true;
+  BackendChange change = removal("a", 7);
   CHECK(directory.apply(change, ChangeSource::Store, at(20'200)) ==
         DirectoryChange::Changed);
   LONGS_EQUAL(1, usable(at(20'200)));
@@ -145,10 +147,7 @@
 
 TEST(BackendDirectory, AnOldRemovalDoesNotTakeAwayWhatIsListedAgain) {
   directory.put(entry("a", 1), at(0));
-  BackendChange change;
-  change.Entry.Id = "a";
-  change.Entry.RowVersion = 7;
-  change.Removed = true;
+  BackendChange change = removal("a", 7);
   BackendEntry again = entry("a", 1);
   again.RowVersion = 9;
   directory.put(again, at(100));
--- a/tests/platform/test_relay.cpp
+++ b/tests/platform/test_relay.cpp
@@ -38,6 +38,19 @@
   RelayFixture fixture;
 
   void setup() override { fixture.configure(1); }
+
+  /// Whether the node's row is in the store within \p ms.
+  bool isListedWithin(int ms) const {
+    return within(ms, [this] {
+      return !fixture.Store.value("entry-nodes", "n1").empty();
+    });
+  }
+
+  /// Sends SIGTERM; returns what the node says of its row.
+  std::optional<nlohmann::json> endAndForget() {
+    fixture.Process.signal(SIGTERM);
+    return fixture.Process.waitEvent("node_forgotten", std::chrono::seconds(2));
+  }
 };
 
 TEST(Relay, PassesACallAndItsAnswerOnUnchanged) {
@@ -637,12 +650,8 @@
   StandInBackend backend(scripts::answer("hello"));
   fixture.list("i-1", "plain", backend.address());
   CHECK(fixture.start(1));
-  CHECK(within(2'000, [&] {
-    return !fixture.Store.value("entry-nodes", "n1").empty();
-  }));
-  fixture.Process.signal(SIGTERM);
-  const auto forgotten =
-      fixture.Process.waitEvent("node_forgotten", std::chrono::seconds(2));
+  CHECK(isListedWithin(2'000));
+  const auto forgotten = endAndForget();
   CHECK(forgotten.has_value());
   CHECK((*forgotten)["removed"].get<bool>());
   STRCMP_EQUAL("", fixture.Store.value("entry-nodes", "n1").c_str());
@@ -653,12 +662,8 @@
 TEST(Relay, ANodeThatEndsBeforeItHasReadItsRowTakesItOffTheList) {
   fixture.Store.delayReads("entry-nodes", std::chrono::milliseconds(200));
   fixture.Process.start({"entry", "--settings", fixture.writeSettings("")});
-  CHECK(within(15'000, [&] {
-    return !fixture.Store.value("entry-nodes", "n1").empty();
-  }));
-  fixture.Process.signal(SIGTERM);
-  const auto forgotten =
-      fixture.Process.waitEvent("node_forgotten", std::chrono::seconds(2));
+  CHECK(isListedWithin(15'000));
+  const auto forgotten = endAndForget();
   CHECK(forgotten.has_value());
   CHECK((*forgotten)["removed"].get<bool>());
   STRCMP_EQUAL("", fixture.Store.value("entry-nodes", "n1").c_str());
@@ -668,17 +673,13 @@
   StandInBackend backend(scripts::answer("hello"));
   fixture.list("i-1", "plain", backend.address());
   CHECK(fixture.start(1));
-  CHECK(within(2'000, [&] {
-    return !fixture.Store.value("entry-nodes", "n1").empty();
-  }));
+  CHECK(isListedWithin(2'000));
   CHECK(fixture.Process.waitEvent("nodes_read", std::chrono::seconds(2))
             .has_value());
   // The next start of the same VM has registered itself already.
   const std::string next = R"({"peer_address":"127.0.0.1:1","incarnation":9})";
   fixture.Store.put("entry-nodes", "n1", next);
-  fixture.Process.signal(SIGTERM);
-  const auto forgotten =
-      fixture.Process.waitEvent("node_forgotten", std::chrono::seconds(2));
+  const auto forgotten = endAndForget();
   CHECK(forgotten.has_value());
   CHECK_FALSE((*forgotten)["removed"].get<bool>());
   STRCMP_EQUAL(next.c_str(), fixture.Store.value("entry-nodes", "n1").c_str());
