Keep a node alive when a connection with a full queue is lost

ZeroMQ stops reading a connection at 1,000 queued messages; if that connection is then reset, and a heartbeat lies among what was read but not decoded, the pong is written to the lost connection, and libzmq aborts. A node that was frozen for longer than the peers' heartbeat bound finds just that.

Ruled out: SIGHUP to process groups (the earlier trace of the same test: nodes have groups of their own now, and the child's standard error names the assertion); sockets that send, whose input is never stopped.

Change: the queue of received messages has no bound, so that ZeroMQ never stops reading; peers are bounded by their own queues and the sockets, strangers are turned away before they can send.

Conclusion: traced and mended; the fault could hit any entry node on the users' platform that was frozen or starved of processor time.

--- a/drivers/peer/peer_transport.cpp
+++ b/drivers/peer/peer_transport.cpp
@@ -19,6 +19,10 @@
 constexpr size_t KeyLength = 40;
 constexpr size_t RawKeyLength = 32;
 constexpr int QueuedPerPeer = 64;
+/// ZeroMQ 4.3.4 aborts the process when a connection is lost whose input it has
+/// stopped for a full queue, with a heartbeat behind it. Only nodes with the
+/// key can fill this one, each with what its own queue and the sockets hold.
+constexpr int UnboundedQueue = 0;
 constexpr size_t MaxQueued = 4096;
 constexpr int64_t MaxMessageBytes = 16 << 20;
 /// How long a closing socket tries to send what it holds.
@@ -78,6 +82,7 @@
     Inbound = zmq::socket_t(Context, zmq::socket_type::pull);
     Inbound.set(zmq::sockopt::linger, 0);
     Inbound.set(zmq::sockopt::maxmsgsize, MaxMessageBytes);
+    Inbound.set(zmq::sockopt::rcvhwm, UnboundedQueue);
     if (!PublicKey.empty()) {
       Inbound.set(zmq::sockopt::curve_server, 1);
       Inbound.set(zmq::sockopt::curve_secretkey, Settings.SecretKey);
--- /dev/null
+++ b/tests/drivers/test_peer_transport.cpp
@@ -0,0 +1,109 @@
+#include "drivers/peer/peer_transport.h"
+#include "tests/support/fleet_fixture.h"
+
+#include <CppUTest/TestHarness.h>
+#include <arpa/inet.h>
+#include <array>
+#include <atomic>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace orioletally;
+using drivers::peer::PeerTransport;
+using drivers::peer::TransportSettings;
+using tests::eventually;
+
+namespace {
+
+constexpr size_t GreetingBytes = 64;
+constexpr size_t ReadyBytes = 28;
+
+/// A node's outgoing connection in ZMTP 3.1, RFC 37, without encryption.
+class ZmtpSender {
+public:
+  explicit ZmtpSender(const std::string &address)
+      : Fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    const size_t colon = address.find(':');
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_port =
+        htons(static_cast<uint16_t>(std::stoi(address.substr(colon + 1))));
+    inet_pton(AF_INET, address.substr(0, colon).c_str(), &to.sin_addr);
+    IsOpen =
+        ::connect(Fd, reinterpret_cast<const sockaddr *>(&to), sizeof(to)) == 0;
+    using namespace std::string_literals;
+    write("\xff\0\0\0\0\0\0\0\1\x7f\3\1NULL"s + std::string(48, '\0'));
+    write("\4\x1a\5READY\13Socket-Type\0\0\0\4PUSH"s);
+    // Messages may follow once the other side has done the same.
+    std::array<char, GreetingBytes + ReadyBytes> answer{};
+    IsOpen = IsOpen && ::recv(Fd, answer.data(), answer.size(), MSG_WAITALL) ==
+                           static_cast<ssize_t>(answer.size());
+  }
+  ~ZmtpSender() { ::close(Fd); }
+  ZmtpSender(const ZmtpSender &) = delete;
+  ZmtpSender &operator=(const ZmtpSender &) = delete;
+
+  bool isOpen() const { return IsOpen; }
+
+  void write(const std::string &bytes) {
+    IsOpen = IsOpen && ::send(Fd, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
+                           static_cast<ssize_t>(bytes.size());
+  }
+
+  /// Makes the close a reset.
+  void reset() const {
+    const linger now{1, 0};
+    ::setsockopt(Fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+  }
+
+private:
+  int Fd;
+  bool IsOpen = false;
+};
+
+/// \p n messages of a byte, with a heartbeat after each tenth.
+std::string messagesWithHeartbeats(int n) {
+  using namespace std::string_literals;
+  std::string bytes;
+  for (int message = 1; message <= n; ++message) {
+    bytes += "\0\1x"s;
+    if (message % 10 == 0)
+      bytes += "\4\7\4PING\0\0"s;
+  }
+  return bytes;
+}
+
+} // namespace
+
+TEST_GROUP(PeerTransport){};
+
+// A node that was frozen finds thousands of messages, with heartbeats among
+// them, from peers that have given their connections up meanwhile.
+TEST(PeerTransport, OutlivesAConnectionThatIsResetBehindABacklog) {
+  std::atomic<int> received = 0;
+  std::atomic<bool> isThawed = false;
+  PeerTransport transport(TransportSettings(), [&](std::string_view) {
+    isThawed.wait(false);
+    ++received;
+  });
+  CHECK(static_cast<bool>(transport.start()));
+  {
+    ZmtpSender sender(transport.address());
+    // One read of the transport's: what is behind the messages it can queue
+    // stays decoded in part while the connection is lost.
+    sender.write(messagesWithHeartbeats(2000));
+    CHECK(sender.isOpen());
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    sender.reset();
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  isThawed = true;
+  isThawed.notify_all();
+  CHECK(eventually([&] { return received >= 1000; }));
+  // The node still takes what others send.
+  const int before = received;
+  ZmtpSender next(transport.address());
+  next.write(messagesWithHeartbeats(10));
+  CHECK(eventually([&] { return received >= before + 10; }));
+  transport.stop();
+}
