Let a node be ready only once the others know it

A node that starts asks one seed for all members and was ready as soon as it had read its lists; a member that it knew by that news only had not heard of it, nor read its row, and could accept a change without it.

Ruled out: SIGHUP (nodes have process groups of their own); the freeze, which the test waits for.

Change: FailureDetector::hasJoined(): a node greets each member that it hasn't heard from and is ready once all that aren't suspected have answered; alone after three periods of silent seeds, and in any case once the platform's list must name it (60 s).

--- a/core/membership/failure_detector.cpp
+++ b/core/membership/failure_detector.cpp
@@ -62,6 +62,7 @@
     ++Self.Beat;
   }
   LastTick = now;
+  FirstTick = std::min(FirstTick, now);
   checkProbe(now, findings);
   checkSuspects(now, findings);
   if (now >= NextProbe) {
@@ -69,6 +70,8 @@
     probeNext(now, findings);
     forgetDead(now);
   }
+  greetUnheard(findings);
+  checkJoined(now);
   return findings;
 }
 
@@ -132,6 +135,29 @@
       {addresses[n], message(Ping{NextSequence++, !isMember})});
 }
 
+void FailureDetector::greetUnheard(TickFindings &findings) {
+  if (HasJoined)
+    return;
+  for (const auto &[name, entry] : Members)
+    if (isAlive(entry) && !entry.IsHeard)
+      findings.Outgoing.push_back(
+          {entry.View.Self.PeerAddress, message(Ping{NextSequence++, false})});
+}
+
+void FailureDetector::checkJoined(absl::Time now) {
+  if (HasJoined)
+    return;
+  const bool mayBeAlone =
+      Seeds.empty() ||
+      now - FirstTick >= Settings.Period * Settings.AlonePeriods;
+  // One that the others suspect can't have its changes confirmed by them.
+  const bool isUnheard = absl::c_any_of(Members, [](const auto &it) {
+    return it.second.View.Status == MemberStatus::Alive && !it.second.IsHeard;
+  });
+  const bool isKnown = !isUnheard && (aliveCount() > 0 || mayBeAlone);
+  HasJoined = isKnown || now - FirstTick >= Settings.JoinBound;
+}
+
 void FailureDetector::checkProbe(absl::Time now, TickFindings &findings) {
   if (!Pending.has_value())
     return;
@@ -215,7 +241,7 @@
   }
   const auto found = Members.find(news.Self.Name);
   if (found == Members.end()) {
-    Members[news.Self.Name] = Entry{news, now, 0};
+    Members[news.Self.Name] = Entry{news, now};
     return;
   }
   Entry &entry = found->second;
@@ -235,6 +261,9 @@
 
 void FailureDetector::hear(const Member &sender, absl::Time now) {
   learn({sender, MemberStatus::Alive}, now);
+  const auto it = Members.find(sender.Name);
+  if (it != Members.end())
+    it->second.IsHeard = true;
 }
 
 std::vector<OutgoingMessage>
--- a/core/membership/failure_detector.h
+++ b/core/membership/failure_detector.h
@@ -29,6 +29,11 @@
   size_t NewsPerMessage = 8;
   /// A gap between two ticks that shows this node to have been frozen.
   absl::Duration FreezeGap = absl::Seconds(2);
+  /// Periods that a node waits for its seeds before it believes to be alone.
+  int AlonePeriods = 3;
+  /// Time after which the others know this node from the platform's list, if
+  /// not from itself.
+  absl::Duration JoinBound = absl::Seconds(60);
   /// How long a dead member is remembered, so that old news can't revive it.
   absl::Duration DeadMemory = absl::Minutes(10);
   uint64_t Seed = 1;
@@ -85,6 +90,11 @@
   /// Since when a member has had its status.
   std::optional<absl::Time> statusSince(std::string_view name) const;
 
+  /// Whether this node has once heard from every member that isn't suspected
+  /// itself, so that all of them know it. Before that another node may accept a
+  /// change of the profiles without this one.
+  bool hasJoined() const { return HasJoined; }
+
   /// Chooses up to \p n live members at random.
   std::vector<Member> randomAlive(size_t n);
 
@@ -98,6 +108,8 @@
   struct Entry {
     MemberView View;
     absl::Time Since;
+    /// Whether a message of its own has come, not only news of it.
+    bool IsHeard = false;
     /// How often its news was passed on.
     int TimesSent = 0;
   };
@@ -119,6 +131,8 @@
   void setStatus(Entry &entry, MemberStatus status, absl::Time now);
   void probeNext(absl::Time now, TickFindings &findings);
   void probeSeed(absl::Time now, TickFindings &findings);
+  void greetUnheard(TickFindings &findings);
+  void checkJoined(absl::Time now);
   void checkProbe(absl::Time now, TickFindings &findings);
   void checkSuspects(absl::Time now, TickFindings &findings);
   void forgetDead(absl::Time now);
@@ -147,6 +161,8 @@
   absl::Time NextProbe = absl::InfinitePast();
   absl::Time LastTick = absl::InfinitePast();
   absl::Time NextSeed = absl::InfinitePast();
+  absl::Time FirstTick = absl::InfiniteFuture();
+  bool HasJoined = false;
 };
 
 } // namespace orioletally::core::membership
--- a/drivers/peer/peer_service.cpp
+++ b/drivers/peer/peer_service.cpp
@@ -270,6 +270,11 @@
   return now - Detector.statusSince(name).value_or(now);
 }
 
+bool PeerService::hasJoined() const {
+  const std::lock_guard lock(Guard);
+  return Detector.hasJoined();
+}
+
 bool PeerService::isZoneLeader() const {
   const std::lock_guard lock(Guard);
   return Detector.isZoneLeader();
--- a/drivers/peer/peer_service.h
+++ b/drivers/peer/peer_service.h
@@ -79,6 +79,8 @@
   std::vector<core::membership::MemberView> members() const;
   absl::Duration statusAge(std::string_view name, absl::Time now) const;
   bool isZoneLeader() const;
+  /// Whether the other nodes know this one, see FailureDetector::hasJoined().
+  bool hasJoined() const;
 
   /// Waits until members' statements have changed, or for \p bound.
   void waitForNews(absl::Duration bound);
--- a/main/node.cpp
+++ b/main/node.cpp
@@ -215,7 +215,7 @@
   }
 
   bool isReady() const {
-    return Profiles.isLoaded() && Poller.hasVmList() &&
+    return Profiles.isLoaded() && Poller.hasVmList() && Peers.hasJoined() &&
            Freshness.isFresh(drivers::clock::steadyNow());
   }
 
--- a/tests/core/test_failure_detector.cpp
+++ b/tests/core/test_failure_detector.cpp
@@ -67,6 +67,26 @@
     return count;
   }
 
+  /// The same among those that have joined.
+  int joinedBelievers(int name, MemberStatus status) const {
+    int count = 0;
+    for (const auto &node : Nodes)
+      for (const MemberView &it : node->members())
+        count += node->hasJoined() && it.Self.Name == memberOf(name).Name &&
+                         it.Status == status
+                     ? 1
+                     : 0;
+    return count;
+  }
+
+  /// How many nodes have joined besides \p n.
+  int joinedBesides(size_t n) const {
+    int count = 0;
+    for (size_t it = 0; it < Nodes.size(); ++it)
+      count += it != n && Nodes[it]->hasJoined() ? 1 : 0;
+    return count;
+  }
+
   /// Cuts the nodes below \p n off from the rest; 0 heals.
   void cutBelow(size_t n) { CutBelow = n; }
 
@@ -132,6 +152,55 @@
     LONGS_EQUAL(15, it->members().size());
 }
 
+TEST(FailureDetector, WhoeverHasJoinedIsKnownToAllThatJoinedBefore) {
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    DetectorNet net(6, 0, seed);
+    for (int64_t ms = 50; ms <= 3000; ms += 50) {
+      net.runUntil(ms);
+      for (int n = 0; n < 6; ++n) {
+        const auto joined = static_cast<size_t>(n);
+        if (net.Nodes[joined]->hasJoined())
+          LONGS_EQUAL(net.joinedBesides(joined),
+                      net.joinedBelievers(n, MemberStatus::Alive));
+      }
+    }
+    LONGS_EQUAL(5, net.joinedBesides(0));
+  }
+}
+
+TEST(FailureDetector, NodeWhoseSeedsAreSilentJoinsAlone) {
+  DetectorSettings settings;
+  FailureDetector alone(memberOf(1), settings);
+  alone.addSeed(memberOf(0).PeerAddress);
+  alone.tick(at(0));
+  CHECK_FALSE(alone.hasJoined());
+  alone.tick(at(1400));
+  CHECK_FALSE(alone.hasJoined());
+  alone.tick(at(1500));
+  CHECK(alone.hasJoined());
+}
+
+// A member that only others hear, so that it isn't suspected.
+TEST(FailureDetector, NodeThatIsNeverAnsweredJoinsOnceTheListKnowsIt) {
+  PeerMessage relayed;
+  relayed.From = memberOf(0);
+  relayed.News = {{memberOf(2), MemberStatus::Alive}};
+  FailureDetector fresh(memberOf(1), DetectorSettings());
+  fresh.addSeed(memberOf(0).PeerAddress);
+  for (int64_t ms = 0; ms < 60000; ms += 100) {
+    for (const OutgoingMessage &it : fresh.tick(at(ms)).Outgoing) {
+      const auto *ping = std::get_if<Ping>(&it.Message.Body);
+      if (ping == nullptr)
+        continue;
+      relayed.Body = Ack{ping->Sequence, memberOf(2).Name};
+      fresh.receive(relayed, at(ms));
+    }
+    CHECK_FALSE(fresh.hasJoined());
+  }
+  fresh.tick(at(60000));
+  CHECK(fresh.hasJoined());
+}
+
 TEST(FailureDetector, KilledNodeIsFoundDeadByAll) {
   DetectorNet net(8, 0, 2);
   net.runUntil(10'000);
