Share a cell's tries at the store among its nodes

Nodes that the store turns away went on trying although four others were served.

Ruled out: the pauses between tries (1 s already, and a node alone needs them).

Change: free places among the followers are tried for in turns of half a second; each node draws whether it has one, with as many expected as places are free. A node that is served keeps its place as before; one that isn't stops once four are served.

--- a/core/fleet/follow_duty.cpp
+++ b/core/fleet/follow_duty.cpp
@@ -40,16 +40,41 @@
   known = std::max(known, at);
 }
 
-bool FollowDuty::mustFollow(platform::FleetTopic topic, absl::Time now) const {
+FollowDuty::Standing FollowDuty::standing(platform::FleetTopic topic,
+                                          absl::Time now) const {
+  Standing result;
+  for (const auto &[name, peer] : Peers) {
+    if (now - peer.HeardAt >= HeardBound)
+      continue;
+    if (now - peer.FollowedAt[static_cast<size_t>(topic)] >= FreshBound) {
+      ++result.Stale;
+      continue;
+    }
+    ++result.Fresh;
+    if (peer.Order < SelfOrder)
+      ++result.FreshBefore;
+  }
+  return result;
+}
+
+bool FollowDuty::hasTurn(size_t places, size_t nodes,
+                         platform::FleetTopic topic, absl::Time now) const {
+  const std::array<uint64_t, 3> drawn = {
+      SelfOrder, static_cast<uint64_t>(topic),
+      static_cast<uint64_t>((now - absl::UnixEpoch()) / Turn)};
+  const uint64_t draw = XXH3_64bits(drawn.data(), sizeof(drawn));
+  return draw % nodes < places;
+}
+
+bool FollowDuty::mustFollow(platform::FleetTopic topic,
+                            absl::Time ownFollowedAt, absl::Time now) const {
   if (Peers.size() < AllFollow)
     return true;
-  const auto before =
-      std::count_if(Peers.begin(), Peers.end(), [&](const auto &it) {
-        const Peer &peer = it.second;
-        return peer.Order < SelfOrder && now - peer.HeardAt < HeardBound &&
-               now - peer.FollowedAt[static_cast<size_t>(topic)] < FreshBound;
-      });
-  return static_cast<size_t>(before) < Followers;
+  const Standing others = standing(topic, now);
+  if (now - ownFollowedAt < FreshBound)
+    return others.FreshBefore < Followers;
+  return others.Fresh < Followers &&
+         hasTurn(Followers - others.Fresh, others.Stale + 1, topic, now);
 }
 
 } // namespace orioletally::core::fleet
--- a/core/fleet/follow_duty.h
+++ b/core/fleet/follow_duty.h
@@ -14,11 +14,13 @@
 /// Decides whether this node follows the store itself or hears of changes from
 /// the nodes of its cell that do. The first few of each cell follow, by an
 /// order that all of them share; one that the store hasn't answered lately
-/// doesn't count, so that the next ones take its place.
+/// doesn't count. Places that are free are tried for in turns, of which each
+/// node draws its own, so that a cell makes no more tries than it needs.
 ///
 /// Load answered: hundreds of nodes that each wait for every change at the
-/// store; and followers that are cut off, frozen, or turned away by the store
-/// while it serves others.
+/// store; followers that are cut off, frozen, or turned away by the store while
+/// it serves others; and a store that is down for all, where each node would
+/// try again every second.
 class FollowDuty {
 public:
   /// A cell of up to this many nodes has only followers.
@@ -31,6 +33,9 @@
   /// The newest answer of the store that a node of the cell had must not be
   /// older: a follower's waiting call lasts up to 1.5 s, its news 1 s.
   static constexpr absl::Duration FreshBound = absl::Milliseconds(2800);
+  /// Length of a turn. As many nodes as places are free try in each, so that
+  /// some node has news of the store's return within about a second.
+  static constexpr absl::Duration Turn = absl::Milliseconds(500);
 
   explicit FollowDuty(std::string self) : Self(std::move(self)) {}
 
@@ -44,8 +49,10 @@
   void followed(const std::string &name, platform::FleetTopic topic,
                 absl::Time at);
 
-  /// Whether this node is to follow \p topic itself.
-  bool mustFollow(platform::FleetTopic topic, absl::Time now) const;
+  /// Whether this node, which had an answer of the store about \p topic at
+  /// \p ownFollowedAt, is to follow the topic itself.
+  bool mustFollow(platform::FleetTopic topic, absl::Time ownFollowedAt,
+                  absl::Time now) const;
 
 private:
   struct Peer {
@@ -54,6 +61,17 @@
     std::array<absl::Time, platform::FleetTopics> FollowedAt;
   };
 
+  /// How the other nodes of the cell stand with one topic.
+  struct Standing {
+    size_t Fresh = 0;
+    size_t FreshBefore = 0;
+    size_t Stale = 0;
+  };
+
+  Standing standing(platform::FleetTopic topic, absl::Time now) const;
+  bool hasTurn(size_t places, size_t nodes, platform::FleetTopic topic,
+               absl::Time now) const;
+
   std::string Self;
   uint64_t SelfOrder = 0;
   std::map<std::string, Peer> Peers;
--- a/drivers/relay/peer_link.cpp
+++ b/drivers/relay/peer_link.cpp
@@ -103,7 +103,7 @@
 }
 
 void PeerLink::tellConfig() {
-  if (Duty.mustFollow(FleetTopic::Config, clock::steadyNow()))
+  if (mustFollow(FleetTopic::Config, clock::steadyNow()))
     flushWithin(SentWithin);
 }
 
@@ -241,14 +241,13 @@
 }
 
 void PeerLink::catchUp(const NodeNews &news, absl::Time now) {
-  const bool followsBackends = Duty.mustFollow(FleetTopic::Backends, now);
+  const bool followsBackends = mustFollow(FleetTopic::Backends, now);
   if (BackendsLag.heard(Handlers.BackendsKnownTo(), news.BackendsVersion,
                         followsBackends, now) == CatchUpStep::ReadStore)
     Handlers.Refresh(FleetTopic::Backends);
   const uint64_t version = Handlers.ConfigVersion();
-  const CatchUpStep step =
-      ConfigLag.heard(version, news.ConfigVersion,
-                      Duty.mustFollow(FleetTopic::Config, now), now);
+  const CatchUpStep step = ConfigLag.heard(
+      version, news.ConfigVersion, mustFollow(FleetTopic::Config, now), now);
   if (step == CatchUpStep::ReadStore)
     Handlers.Refresh(FleetTopic::Config);
   const bool isAsked = news.WantsConfig && version > news.ConfigVersion;
--- a/drivers/relay/peer_link.h
+++ b/drivers/relay/peer_link.h
@@ -78,7 +78,7 @@
 
   /// Whether this node is to follow \p topic at the store itself.
   bool mustFollow(core::platform::FleetTopic topic, absl::Time now) const {
-    return Duty.mustFollow(topic, now);
+    return Duty.mustFollow(topic, Handlers.FollowedAt(topic), now);
   }
 
   /// Registered nodes that this one should take off the list.
--- a/tests/core/test_follow_duty.cpp
+++ b/tests/core/test_follow_duty.cpp
@@ -20,46 +20,80 @@
   return result;
 }
 
-/// A cell of which each node hears the others but those in Silent.
+/// A cell whose nodes obey their duty every 250 ms and say every second that
+/// they are there and when the store last answered them.
 struct Cell {
+  static constexpr int64_t StepMs = 250;
+  static constexpr int64_t BeatMs = 1'000;
+
   explicit Cell(int n) : Names(names(n)) {
     for (const std::string &it : Names) {
       Duties.emplace_back(it);
       Duties.back().setCell(Names);
     }
+    FollowedAt.resize(Names.size(), absl::InfinitePast());
+    TriedAt.resize(Names.size(), absl::InfinitePast());
   }
 
-  void beat(absl::Time now) {
-    for (size_t from = 0; from < Names.size(); ++from) {
-      if (Silent.contains(from))
-        continue;
-      for (size_t to = 0; to < Names.size(); ++to) {
-        if (to == from || Silent.contains(to))
-          continue;
-        Duties[to].heard(Names[from], now);
-        if (Duties[from].mustFollow(FleetTopic::Config, now) &&
-            !TurnedAway.contains(from))
-          Duties[to].followed(Names[from], FleetTopic::Config, now);
-      }
-    }
+  bool mustFollow(size_t n, absl::Time now) const {
+    return Duties[n].mustFollow(FleetTopic::Config, FollowedAt[n], now);
   }
 
-  std::set<size_t> followers(absl::Time now) {
+  std::set<size_t> followers(absl::Time now) const {
     std::set<size_t> result;
     for (size_t n = 0; n < Names.size(); ++n)
-      if (!Silent.contains(n) && Duties[n].mustFollow(FleetTopic::Config, now))
+      if (!Silent.contains(n) && mustFollow(n, now))
         result.insert(n);
     return result;
   }
 
-  /// Beats each second from \p from to \p to.
+  void call(size_t n, absl::Time now) {
+    if (!IsStoreDown && !TurnedAway.contains(n)) {
+      FollowedAt[n] = now;
+      return;
+    }
+    // The driver's pause between tries.
+    if (now - TriedAt[n] < absl::Seconds(1))
+      return;
+    TriedAt[n] = now;
+    ++Tries;
+  }
+
+  void beat(absl::Time now) {
+    for (size_t from = 0; from < Names.size(); ++from)
+      for (size_t to = 0; to < Names.size(); ++to) {
+        if (to == from || Silent.contains(from) || Silent.contains(to))
+          continue;
+        Duties[to].heard(Names[from], now);
+        Duties[to].followed(Names[from], FleetTopic::Config, FollowedAt[from]);
+      }
+  }
+
   void run(int64_t from, int64_t to) {
-    for (int64_t ms = from; ms <= to; ms += 1'000)
-      beat(at(ms));
+    for (int64_t ms = from; ms < to; ms += StepMs) {
+      for (const size_t n : followers(at(ms)))
+        call(n, at(ms));
+      if (ms % BeatMs == 0)
+        beat(at(ms));
+    }
+  }
+
+  /// Whether the store answered a node that the others hear at \p since or
+  /// later.
+  bool isFollowedSince(int64_t since) const {
+    for (size_t n = 0; n < Names.size(); ++n)
+      if (!Silent.contains(n) && FollowedAt[n] >= at(since))
+        return true;
+    return false;
   }
 
   std::vector<std::string> Names;
   std::vector<FollowDuty> Duties;
+  std::vector<absl::Time> FollowedAt;
+  std::vector<absl::Time> TriedAt;
+  /// Calls that the store didn't answer.
+  int Tries = 0;
+  bool IsStoreDown = false;
   std::set<size_t> Silent;
   /// Those that the store doesn't answer.
   std::set<size_t> TurnedAway;
@@ -83,33 +117,56 @@
 }
 
 TEST(FollowDuty, OthersTakeOverFromFollowersThatFallSilent) {
-  Cell cell(24);
-  cell.run(0, 5'000);
-  cell.Silent = cell.followers(at(5'000));
-  cell.run(6'000, 8'000);
-  CHECK(cell.followers(at(8'000)).size() >= FollowDuty::Followers);
-  cell.run(9'000, 12'000);
-  LONGS_EQUAL(FollowDuty::Followers, cell.followers(at(12'000)).size());
+  for (int nodes = 9; nodes <= 60; ++nodes) {
+    Cell cell(nodes);
+    cell.run(0, 5'000);
+    cell.Silent = cell.followers(at(5'000));
+    // Silence is found after 2.5 s.
+    cell.run(5'000, 8'500);
+    CHECK(cell.isFollowedSince(7'000));
+    cell.run(8'500, 20'000);
+    LONGS_EQUAL(FollowDuty::Followers, cell.followers(at(20'000)).size());
+  }
 }
 
-TEST(FollowDuty, AllFollowWhileTheStoreTurnsTheFollowersAway) {
-  Cell cell(24);
-  cell.run(0, 5'000);
-  cell.TurnedAway = cell.followers(at(5'000));
-  cell.run(6'000, 7'000);
-  LONGS_EQUAL(24, cell.followers(at(5'000) + FollowDuty::FreshBound).size());
-  // Once some that the store serves have told of it, the rest step back, while
-  // those that it turned away go on trying.
-  cell.run(8'000, 20'000);
-  LONGS_EQUAL(2 * FollowDuty::Followers, cell.followers(at(20'000)).size());
-  cell.TurnedAway.clear();
-  cell.run(21'000, 22'000);
-  LONGS_EQUAL(FollowDuty::Followers, cell.followers(at(22'000)).size());
+TEST(FollowDuty, OthersTakeOverFromFollowersThatTheStoreTurnsAway) {
+  for (int nodes = 9; nodes <= 60; ++nodes) {
+    Cell cell(nodes);
+    cell.run(0, 5'000);
+    cell.TurnedAway = cell.followers(at(5'000));
+    cell.run(5'000, 9'000);
+    CHECK(cell.isFollowedSince(7'000));
+    cell.run(9'000, 20'000);
+    const std::set<size_t> followers = cell.followers(at(20'000));
+    LONGS_EQUAL(FollowDuty::Followers, followers.size());
+    for (const size_t n : followers)
+      CHECK_FALSE(cell.TurnedAway.contains(n));
+  }
+}
+
+// While the store is down for all, a cell tries as often as its few followers
+// would, and not with each of its nodes.
+TEST(FollowDuty, ACellSharesItsTriesWhileTheStoreIsDown) {
+  for (int nodes = 9; nodes <= 60; ++nodes) {
+    Cell cell(nodes);
+    cell.run(0, 5'000);
+    cell.IsStoreDown = true;
+    cell.run(5'000, 16'000);
+    // Four tries a turn for 11 s, and a quarter more by chance.
+    CHECK(cell.Tries <= 110);
+    cell.IsStoreDown = false;
+    cell.run(16'000, 17'500);
+    CHECK(cell.isFollowedSince(16'000));
+    cell.run(17'500, 25'000);
+    LONGS_EQUAL(FollowDuty::Followers, cell.followers(at(25'000)).size());
+  }
 }
 
 TEST(FollowDuty, ANodeThatHearsNobodyFollows) {
   FollowDuty duty("node-0");
-  CHECK(duty.mustFollow(FleetTopic::Config, at(0)));
+  const absl::Time never = absl::InfinitePast();
+  CHECK(duty.mustFollow(FleetTopic::Config, never, at(0)));
   duty.setCell(names(24));
-  CHECK(duty.mustFollow(FleetTopic::Config, at(0)));
+  for (int64_t ms = 0; ms < 10'000; ms += 250)
+    CHECK(duty.mustFollow(FleetTopic::Config, never, at(ms)));
 }
