Say in one place which prompts are urgent, and look a removal up once

The comparison with UrgentPromptTokens stood in the dispatcher and in the call runner, and BackendDirectory::apply() looked an entry up that removeAt() looked up again.

Ruled out: a change of behaviour; both are the same decisions.

--- a/core/engines/engine_load.h
+++ b/core/engines/engine_load.h
@@ -13,6 +13,11 @@
 /// they are many, and one of the others holds up a hundred of them.
 constexpr int64_t UrgentPromptTokens = 16384;
 
+/// Whether a prompt of \p promptTokens goes before longer ones.
+constexpr bool isUrgent(int64_t promptTokens) {
+  return promptTokens <= UrgentPromptTokens;
+}
+
 /// One prompt, or a helper's part of one, that an engine was given.
 struct RunningPrompt {
   /// Unique among all nodes.
--- a/core/fleet/backend_directory.cpp
+++ b/core/fleet/backend_directory.cpp
@@ -78,8 +78,8 @@
   const bool isAroundOutage = IsListLost || now < ListBackAt + RelistBound;
   if (isAroundOutage && !found->second->Entry.Leaving)
     return removeAt(
-        id, IsListLost ? now + RelistBound : ListBackAt + RelistBound, now);
-  return removeAt(id, now, now);
+        found, IsListLost ? now + RelistBound : ListBackAt + RelistBound, now);
+  return removeAt(found, now, now);
 }
 
 DirectoryChange BackendDirectory::apply(const BackendChange &change,
@@ -95,16 +95,13 @@
   const absl::Time goneAt = now + change.GoneIn;
   if (goneAt >= found->second->GoneAt)
     return DirectoryChange::None;
-  const DirectoryChange made = removeAt(change.Entry.Id, goneAt, now);
+  const DirectoryChange made = removeAt(found, goneAt, now);
   rankIfStale();
   return made;
 }
 
-DirectoryChange BackendDirectory::removeAt(std::string_view id,
+DirectoryChange BackendDirectory::removeAt(ServerMap::iterator found,
                                            absl::Time goneAt, absl::Time now) {
-  const auto found = Servers.find(id);
-  if (found == Servers.end())
-    return DirectoryChange::None;
   found->second->GoneAt = goneAt;
   if (goneAt > now)
     return DirectoryChange::Changed;
--- a/core/fleet/backend_directory.h
+++ b/core/fleet/backend_directory.h
@@ -115,10 +115,13 @@
   static uint64_t hashOf(std::string_view id);
 
 private:
+  using ServerMap =
+      std::map<std::string, std::shared_ptr<BackendServer>, std::less<>>;
+
   // These leave the orders to whoever calls them, to be worked out once.
   DirectoryChange putUnranked(BackendEntry entry, absl::Time now);
   DirectoryChange removeUnranked(std::string_view id, absl::Time now);
-  DirectoryChange removeAt(std::string_view id, absl::Time goneAt,
+  DirectoryChange removeAt(ServerMap::iterator found, absl::Time goneAt,
                            absl::Time now);
   void rankIfStale();
   /// Works out anew what belongs to the cell, and the orders.
@@ -126,7 +129,7 @@
   void divide(std::vector<std::shared_ptr<BackendServer>> &servers) const;
 
   /// Ordered by id, so that ranks are the same everywhere.
-  std::map<std::string, std::shared_ptr<BackendServer>, std::less<>> Servers;
+  ServerMap Servers;
   absl::flat_hash_map<uint64_t, std::shared_ptr<BackendServer>> ByHash;
   std::map<std::string, std::vector<std::shared_ptr<BackendServer>>,
            std::less<>>
--- a/core/relay/dispatcher.cpp
+++ b/core/relay/dispatcher.cpp
@@ -56,10 +56,10 @@
   const absl::Duration whole =
       std::max({LeastPatience, PatiencePerObjective * route.Objective,
                 PatiencePerGap * route.GapObjective});
-  const bool isUrgent = demand.PromptTokens <= engines::UrgentPromptTokens;
+  const double lateFactor =
+      engines::isUrgent(demand.PromptTokens) ? UrgentLateFactor : LateFactor;
   return std::min({PatienceShare * whole - (now - demand.ArrivedAt),
-                   (isUrgent ? UrgentLateFactor : LateFactor) * route.Objective,
-                   demand.Deadline - now});
+                   lateFactor * route.Objective, demand.Deadline - now});
 }
 
 RequestError noBackend(const std::string &service, absl::Duration comeBackIn) {
--- a/drivers/relay/call_runner.cpp
+++ b/drivers/relay/call_runner.cpp
@@ -343,7 +343,7 @@
   head.Workspace = Workspace;
   head.ResumeAfter = Events.lastId();
   if (dispatch.Speed != nullptr)
-    head.Priority = dispatch.PromptTokens <= core::engines::UrgentPromptTokens
+    head.Priority = core::engines::isUrgent(dispatch.PromptTokens)
                         ? ShortPriority
                         : LongPriority;
   for (size_t n = 0; n < dispatch.Helpers.size(); ++n)
