Join the nodes' logs to a table of what was lost, and why

Ruled out: new log lines; the two objectives of the route in the call line are all that was missing.

--- a/drivers/relay/call_runner.cpp
+++ b/drivers/relay/call_runner.cpp
@@ -726,6 +726,10 @@
       {"gap_ms", absl::ToInt64Milliseconds(LongestGap)},
       {"ms", absl::ToInt64Milliseconds(took)},
       {"attempts", std::move(tries)}};
+  if (Route != nullptr) {
+    line["objective_ms"] = absl::ToInt64Milliseconds(Route->Objective);
+    line["gap_objective_ms"] = absl::ToInt64Milliseconds(Route->GapObjective);
+  }
   if (!OwnCode.empty()) {
     line["code"] = OwnCode;
     line["rule"] = OwnRule;
--- a/tests/lab/lab_main.cpp
+++ b/tests/lab/lab_main.cpp
@@ -1,6 +1,7 @@
 #include "drivers/clock/clock.h"
 #include "tests/lab/engine_server.h"
 #include "tests/lab/load_client.h"
+#include "tests/lab/loss_table.h"
 #include "tests/lab/platform_server.h"
 #include "tests/lab/policy_bench.h"
 #include "tests/lab/relay_model.h"
@@ -74,7 +75,7 @@
 po::options_description labOptions() {
   po::options_description all(
       "orioletally-lab platform|engine|service|load|slopes|spread|policy|"
-      "placement|compare");
+      "placement|compare|losses");
   auto add = all.add_options();
   add("help", "show this text");
   add("command", po::value<std::string>());
@@ -94,6 +95,8 @@
       "file of tests/lab/loads to play (placement)");
   add("plays", po::value<int>()->default_value(5),
       "how often, with other seeds (placement)");
+  add("log", po::value<std::vector<std::string>>()->composing(),
+      "log of a node; given once for each (losses)");
   add("seconds", po::value<int>()->default_value(120));
   add("target", po::value<std::vector<std::string>>()->composing());
   add("direct", "targets are engines, not entry nodes");
@@ -152,6 +155,15 @@
                      options["picture"].as<std::string>());
     return 0;
   }
+  if (command == "losses") {
+    if (options.count("log") == 0) {
+      fmt::print(stderr, "orioletally-lab: losses needs --log\n");
+      return UsageError;
+    }
+    return printLosses(options["log"].as<std::vector<std::string>>())
+               ? 0
+               : UsageError;
+  }
   if (command == "slopes") {
     printSlopes();
     return 0;
--- /dev/null
+++ b/tests/lab/loss_table.cpp
@@ -0,0 +1,219 @@
+#include "tests/lab/loss_table.h"
+
+#include "core/engines/engine_load.h"
+
+#include <absl/algorithm/container.h>
+#include <algorithm>
+#include <array>
+#include <fmt/format.h>
+#include <fstream>
+#include <nlohmann/json.hpp>
+
+namespace orioletally::lab {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr size_t Causes = 12;
+constexpr std::array<std::string_view, Causes> CauseNames = {
+    "in time",       "late as predicted", "late unforeseen", "pause, long read",
+    "pause, other",  "overload",          "no server",       "node not ready",
+    "server failed", "out of time",       "caller left",     "node ended"};
+constexpr absl::Duration TableStep = absl::Seconds(2);
+constexpr int FirstServerError = 500;
+
+using Counts = std::array<int64_t, Causes>;
+
+absl::Duration milliseconds(const json &line, const char *word) {
+  return absl::Milliseconds(line.value(word, int64_t{0}));
+}
+
+absl::Time timeOf(const json &line) {
+  absl::Time result = absl::InfinitePast();
+  std::string ignored;
+  absl::ParseTime(absl::RFC3339_full, line.value("time", ""), &result,
+                  &ignored);
+  return result;
+}
+
+std::string row(std::string_view name, const Counts &counts) {
+  std::string text = fmt::format("| {} |", name);
+  for (const int64_t it : counts)
+    text += it == 0 ? std::string(" |") : fmt::format(" {} |", it);
+  return text + "\n";
+}
+
+std::string head(std::string_view name) {
+  std::string names = fmt::format("| {} |", name);
+  std::string rule = "| --- |";
+  for (const std::string_view it : CauseNames) {
+    names += fmt::format(" {} |", it);
+    rule += " --- |";
+  }
+  return names + "\n" + rule + "\n";
+}
+
+} // namespace
+
+std::string_view lossCauseName(LossCause cause) {
+  return CauseNames[static_cast<size_t>(cause)];
+}
+
+void LossTable::read(std::istream &log) {
+  std::string line;
+  while (std::getline(log, line))
+    readLine(line);
+}
+
+void LossTable::readLine(std::string_view line) {
+  const size_t start = line.find('{');
+  if (start == std::string_view::npos)
+    return;
+  const json object = json::parse(line.substr(start), nullptr, false);
+  if (!object.is_object() || !object.contains("id"))
+    return;
+  const std::string event = object.value("event", "");
+  const std::string id = object.value("id", "");
+  if (event == "dispatch") {
+    Attempt attempt;
+    attempt.Backend = object.value("backend", "");
+    attempt.Helpers = object.value("helpers", std::vector<std::string>());
+    attempt.PromptTokens = object.value("prompt", int64_t{0});
+    attempt.SentAt = timeOf(object);
+    attempt.Predicted = milliseconds(object, "predicted_ms");
+    Attempts[id].push_back(std::move(attempt));
+  } else if (event == "call") {
+    Call call;
+    call.Route = object.value("route", "");
+    call.Status = object.value("status", 0);
+    call.Code = object.value("code", "");
+    call.Aborted = object.value("aborted", "");
+    call.FirstEvent = milliseconds(object, "first_ms");
+    call.Gap = milliseconds(object, "gap_ms");
+    call.Took = milliseconds(object, "ms");
+    call.Objective = milliseconds(object, "objective_ms");
+    call.GapObjective = milliseconds(object, "gap_objective_ms");
+    call.ArrivedAt = timeOf(object) - call.Took;
+    Calls[id] = std::move(call);
+  }
+}
+
+LossTable::Readings LossTable::longReadings() const {
+  Readings result;
+  for (const auto &[id, attempts] : Attempts) {
+    const auto call = Calls.find(id);
+    for (const Attempt &it : attempts) {
+      if (core::engines::isUrgent(it.PromptTokens))
+        continue;
+      absl::Time until = it.SentAt + it.Predicted;
+      if (call != Calls.end() && &it == &attempts.back())
+        until =
+            std::max(until, call->second.ArrivedAt + call->second.FirstEvent);
+      result[it.Backend].push_back({it.SentAt, until});
+      for (const std::string &helper : it.Helpers)
+        result[helper].push_back({it.SentAt, until});
+    }
+  }
+  return result;
+}
+
+bool LossTable::isBesideLongPrompt(const std::string &id, const Call &call,
+                                   const Readings &readings) const {
+  const auto attempts = Attempts.find(id);
+  if (attempts == Attempts.end())
+    return false;
+  const auto found = readings.find(attempts->second.back().Backend);
+  if (found == readings.end())
+    return false;
+  const absl::Time from = call.ArrivedAt + call.FirstEvent;
+  const absl::Time until = call.ArrivedAt + call.Took;
+  return absl::c_any_of(found->second, [&](const Reading &it) {
+    return it.From < until && it.Until > from;
+  });
+}
+
+LossCause LossTable::latenessOf(const std::string &id, const Call &call,
+                                const Readings &readings) const {
+  const absl::Duration first =
+      call.FirstEvent > absl::ZeroDuration() ? call.FirstEvent : call.Took;
+  if (call.Objective > absl::ZeroDuration() && first > call.Objective) {
+    const auto attempts = Attempts.find(id);
+    const bool isForeseen = attempts != Attempts.end() &&
+                            attempts->second.front().Predicted > call.Objective;
+    return isForeseen ? LossCause::LateAsPredicted : LossCause::LateUnforeseen;
+  }
+  if (call.GapObjective > absl::ZeroDuration() && call.Gap > call.GapObjective)
+    return isBesideLongPrompt(id, call, readings)
+               ? LossCause::PauseBesideLongPrompt
+               : LossCause::PauseElsewhere;
+  return LossCause::None;
+}
+
+LossCause LossTable::causeOf(const std::string &id, const Call &call,
+                             const Readings &readings) const {
+  if (call.Aborted == "caller_gone")
+    return LossCause::CallerLeft;
+  if (call.Aborted == "out_of_time")
+    return LossCause::OutOfTime;
+  if (call.Code == "overloaded")
+    return LossCause::Overload;
+  if (call.Code == "no_backend")
+    return LossCause::NoBackendServer;
+  if (call.Code == "draining" || call.Code == "platform_unavailable")
+    return LossCause::NodeNotReady;
+  if (call.Status >= FirstServerError)
+    return LossCause::BackendFailure;
+  return call.Code.empty() ? latenessOf(id, call, readings) : LossCause::None;
+}
+
+std::vector<CallLoss> LossTable::calls() const {
+  const Readings readings = longReadings();
+  std::vector<CallLoss> result;
+  for (const auto &[id, call] : Calls)
+    result.push_back({call.Route, call.ArrivedAt, causeOf(id, call, readings)});
+  for (const auto &[id, attempts] : Attempts)
+    if (!Calls.contains(id))
+      result.push_back(
+          {"unknown", attempts.front().SentAt, LossCause::NodeEnded});
+  absl::c_sort(result, [](const CallLoss &left, const CallLoss &right) {
+    return left.ArrivedAt < right.ArrivedAt;
+  });
+  return result;
+}
+
+std::string LossTable::markdown(absl::Duration step) const {
+  const std::vector<CallLoss> all = calls();
+  std::map<std::string, Counts> byRoute;
+  std::map<int64_t, Counts> byStep;
+  for (const CallLoss &it : all) {
+    const auto cause = static_cast<size_t>(it.Cause);
+    ++byRoute[it.Route][cause];
+    ++byStep[(it.ArrivedAt - all.front().ArrivedAt) / step][cause];
+  }
+  std::string text = head("route");
+  for (const auto &[route, counts] : byRoute)
+    text += row(route, counts);
+  text += "\n" + head("from second");
+  for (const auto &[n, counts] : byStep)
+    text += row(fmt::format("{:g}", absl::ToDoubleSeconds(step) *
+                                        static_cast<double>(n)),
+                counts);
+  return text;
+}
+
+bool printLosses(const std::vector<std::string> &files) {
+  LossTable table;
+  for (const std::string &it : files) {
+    std::ifstream log(it);
+    if (!log) {
+      fmt::print(stderr, "orioletally-lab: can't read {}\n", it);
+      return false;
+    }
+    table.read(log);
+  }
+  fmt::print("{}", table.markdown(TableStep));
+  return true;
+}
+
+} // namespace orioletally::lab
--- /dev/null
+++ b/tests/lab/loss_table.h
@@ -0,0 +1,107 @@
+#ifndef ORIOLETALLY_TESTS_LAB_LOSS_TABLE_H
+#define ORIOLETALLY_TESTS_LAB_LOSS_TABLE_H
+
+#include <absl/time/time.h>
+#include <cstdint>
+#include <istream>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace orioletally::lab {
+
+/// Why a call wasn't served in time, as far as the nodes' logs tell.
+enum class LossCause {
+  None,
+  /// Its first token was predicted late, and it was taken all the same.
+  LateAsPredicted,
+  /// Its first token came late against the prediction.
+  LateUnforeseen,
+  /// It paused while its engine read a long prompt.
+  PauseBesideLongPrompt,
+  PauseElsewhere,
+  /// No backend server could answer it in time.
+  Overload,
+  NoBackendServer,
+  /// The node was about to end, or didn't know its fleet yet.
+  NodeNotReady,
+  BackendFailure,
+  OutOfTime,
+  CallerLeft,
+  /// It was sent to a backend server, and no line tells of its end.
+  NodeEnded,
+};
+
+/// Returns the name of \p cause in tables.
+std::string_view lossCauseName(LossCause cause);
+
+/// One call and what became of it.
+struct CallLoss {
+  std::string Route;
+  absl::Time ArrivedAt;
+  LossCause Cause = LossCause::None;
+};
+
+/// Joins the `dispatch` and `call` lines of any number of nodes to what was
+/// lost, when and why. Lines of other kinds, and text before a line's JSON, are
+/// passed over.
+class LossTable {
+public:
+  void read(std::istream &log);
+
+  /// Every call, in the order of arrival.
+  std::vector<CallLoss> calls() const;
+
+  /// Markdown tables of causes by route and by time in steps of \p step.
+  std::string markdown(absl::Duration step) const;
+
+private:
+  struct Attempt {
+    std::string Backend;
+    std::vector<std::string> Helpers;
+    int64_t PromptTokens = 0;
+    absl::Time SentAt;
+    absl::Duration Predicted;
+  };
+  struct Call {
+    std::string Route;
+    int Status = 0;
+    std::string Code;
+    std::string Aborted;
+    absl::Time ArrivedAt;
+    /// Zero for answers that aren't streams.
+    absl::Duration FirstEvent;
+    absl::Duration Gap;
+    absl::Duration Took;
+    absl::Duration Objective;
+    absl::Duration GapObjective;
+  };
+  /// A time in which an engine read a long prompt.
+  struct Reading {
+    absl::Time From;
+    absl::Time Until;
+  };
+  using Readings = std::map<std::string, std::vector<Reading>, std::less<>>;
+
+  void readLine(std::string_view line);
+  Readings longReadings() const;
+  LossCause causeOf(const std::string &id, const Call &call,
+                    const Readings &readings) const;
+  LossCause latenessOf(const std::string &id, const Call &call,
+                       const Readings &readings) const;
+  bool isBesideLongPrompt(const std::string &id, const Call &call,
+                          const Readings &readings) const;
+
+  /// By the caller's attempt id.
+  std::map<std::string, std::vector<Attempt>> Attempts;
+  std::map<std::string, Call> Calls;
+};
+
+/// Reads \p files, the logs of a fleet, and prints the tables. Returns false,
+/// and says so, if one can't be read.
+bool printLosses(const std::vector<std::string> &files);
+
+} // namespace orioletally::lab
+
+#endif
