--- a/tests/lab/loss_table.cpp
+++ b/tests/lab/loss_table.cpp
@@ -133,6 +133,29 @@
   });
 }
 
+bool LossTable::isUrgent(const std::string &id) const {
+  const auto attempts = Attempts.find(id);
+  return attempts != Attempts.end() &&
+         core::engines::isUrgent(attempts->second.back().PromptTokens);
+}
+
+Exposure LossTable::exposure(bool isPaused) const {
+  const Readings readings = longReadings();
+  Exposure result;
+  for (const auto &[id, call] : Calls) {
+    const LossCause cause = causeOf(id, call, readings);
+    const bool isWanted = isPaused
+                              ? cause == LossCause::PauseBesideLongPrompt ||
+                                    cause == LossCause::PauseElsewhere
+                              : cause == LossCause::None;
+    if (!isWanted || call.FirstEvent == absl::ZeroDuration() || !isUrgent(id))
+      continue;
+    ++result.Streams;
+    result.BesideLongPrompt += isBesideLongPrompt(id, call, readings) ? 1 : 0;
+  }
+  return result;
+}
+
 LossCause LossTable::latenessOf(const std::string &id, const Call &call,
                                 const Readings &readings) const {
   const absl::Duration first =
@@ -213,6 +236,13 @@
     table.read(log);
   }
   fmt::print("{}", table.markdown(TableStep));
+  const Exposure inTime = table.exposure(false);
+  const Exposure paused = table.exposure(true);
+  fmt::print(
+      "\nurgent streams beside a long prompt: {} of {} in time, {} of {} "
+      "late by a pause\n",
+      inTime.BesideLongPrompt, inTime.Streams, paused.BesideLongPrompt,
+      paused.Streams);
   return true;
 }
 
--- a/tests/lab/loss_table.h
+++ b/tests/lab/loss_table.h
@@ -43,6 +43,13 @@
   LossCause Cause = LossCause::None;
 };
 
+/// How many urgent streams wrote on an engine that read a long prompt
+/// meanwhile.
+struct Exposure {
+  int64_t Streams = 0;
+  int64_t BesideLongPrompt = 0;
+};
+
 /// Joins the `dispatch` and `call` lines of any number of nodes to what was
 /// lost, when and why. Lines of other kinds, and text before a line's JSON, are
 /// passed over.
@@ -53,6 +60,9 @@
   /// Every call, in the order of arrival.
   std::vector<CallLoss> calls() const;
 
+  /// Of the urgent streams that were in time, or late by a pause only.
+  Exposure exposure(bool isPaused) const;
+
   /// Markdown tables of causes by route and by time in steps of \p step.
   std::string markdown(absl::Duration step) const;
 
@@ -90,6 +100,7 @@
                     const Readings &readings) const;
   LossCause latenessOf(const std::string &id, const Call &call,
                        const Readings &readings) const;
+  bool isUrgent(const std::string &id) const;
   bool isBesideLongPrompt(const std::string &id, const Call &call,
                           const Readings &readings) const;
 
