Take the bound on joining from the lag of the platform's list

Cause: found in reading; the 60 s after which others know a node from the list stood twice.

Ruled out: a change of behaviour, the values are equal.

After: tests-core FailureDetector, 9 cases.

Conclusion: kept.

--- a/core/membership/failure_detector.h
+++ b/core/membership/failure_detector.h
@@ -1,6 +1,7 @@
 #ifndef ORIOLETALLY_CORE_MEMBERSHIP_FAILURE_DETECTOR_H
 #define ORIOLETALLY_CORE_MEMBERSHIP_FAILURE_DETECTOR_H
 
+#include "core/membership/acceptance.h"
 #include "core/membership/member.h"
 #include "core/membership/peer_message.h"
 
@@ -33,7 +34,7 @@
   int AlonePeriods = 3;
   /// Time after which the others know this node from the platform's list, if
   /// not from itself.
-  absl::Duration JoinBound = absl::Seconds(60);
+  absl::Duration JoinBound = VmListLag;
   /// How long a dead member is remembered, so that old news can't revive it.
   absl::Duration DeadMemory = absl::Minutes(10);
   uint64_t Seed = 1;
