Let the tests of FollowDuty share how a settled cell is made

Cause: three tests repeated the loop over cells of 9 to 60 nodes and the five quiet seconds before each.

Ruled out: fewer checks; the group counts 616 as before.

--- a/tests/core/test_follow_duty.cpp
+++ b/tests/core/test_follow_duty.cpp
@@ -99,6 +99,16 @@
   std::set<size_t> TurnedAway;
 };
 
+/// Lets \p check look at cells of every size from the least that has nodes that
+/// don't follow, each after five quiet seconds.
+template <typename Check> void forEachSettledCell(Check check) {
+  for (int nodes = 9; nodes <= 60; ++nodes) {
+    Cell cell(nodes);
+    cell.run(0, 5'000);
+    check(cell);
+  }
+}
+
 } // namespace
 
 TEST_GROUP(FollowDuty){};
@@ -117,22 +127,18 @@
 }
 
 TEST(FollowDuty, OthersTakeOverFromFollowersThatFallSilent) {
-  for (int nodes = 9; nodes <= 60; ++nodes) {
-    Cell cell(nodes);
-    cell.run(0, 5'000);
+  forEachSettledCell([](Cell &cell) {
     cell.Silent = cell.followers(at(5'000));
     // Silence is found after 2.5 s.
     cell.run(5'000, 8'500);
     CHECK(cell.isFollowedSince(7'000));
     cell.run(8'500, 20'000);
     LONGS_EQUAL(FollowDuty::Followers, cell.followers(at(20'000)).size());
-  }
+  });
 }
 
 TEST(FollowDuty, OthersTakeOverFromFollowersThatTheStoreTurnsAway) {
-  for (int nodes = 9; nodes <= 60; ++nodes) {
-    Cell cell(nodes);
-    cell.run(0, 5'000);
+  forEachSettledCell([](Cell &cell) {
     cell.TurnedAway = cell.followers(at(5'000));
     cell.run(5'000, 9'000);
     CHECK(cell.isFollowedSince(7'000));
@@ -141,15 +147,13 @@
     LONGS_EQUAL(FollowDuty::Followers, followers.size());
     for (const size_t n : followers)
       CHECK_FALSE(cell.TurnedAway.contains(n));
-  }
+  });
 }
 
 // While the store is down for all, a cell tries as often as its few followers
 // would, and not with each of its nodes.
 TEST(FollowDuty, ACellSharesItsTriesWhileTheStoreIsDown) {
-  for (int nodes = 9; nodes <= 60; ++nodes) {
-    Cell cell(nodes);
-    cell.run(0, 5'000);
+  forEachSettledCell([](Cell &cell) {
     cell.IsStoreDown = true;
     cell.run(5'000, 16'000);
     // Four tries a turn for 11 s, and a quarter more by chance.
@@ -159,7 +163,7 @@
     CHECK(cell.isFollowedSince(16'000));
     cell.run(17'500, 25'000);
     LONGS_EQUAL(FollowDuty::Followers, cell.followers(at(25'000)).size());
-  }
+  });
 }
 
 TEST(FollowDuty, ANodeThatHearsNobodyFollows) {
