Work out once what a call's engine read beside it

Cause: found on reading. exposure() went through all calls, readings and causes again beside calls(), and lossCauseName() was called by nobody.

After: scripts/test.sh 46 passed; no product file changed.

--- a/tests/lab/loss_table.cpp
+++ b/tests/lab/loss_table.cpp
@@ -56,10 +56,6 @@
 
 } // namespace
 
-std::string_view lossCauseName(LossCause cause) {
-  return CauseNames[static_cast<size_t>(cause)];
-}
-
 void LossTable::read(std::istream &log) {
   std::string line;
   while (std::getline(log, line))
@@ -140,24 +136,22 @@
 }
 
 Exposure LossTable::exposure(bool isPaused) const {
-  const Readings readings = longReadings();
   Exposure result;
-  for (const auto &[id, call] : Calls) {
-    const LossCause cause = causeOf(id, call, readings);
+  for (const CallLoss &it : calls()) {
     const bool isWanted = isPaused
-                              ? cause == LossCause::PauseBesideLongPrompt ||
-                                    cause == LossCause::PauseElsewhere
-                              : cause == LossCause::None;
-    if (!isWanted || call.FirstEvent == absl::ZeroDuration() || !isUrgent(id))
+                              ? it.Cause == LossCause::PauseBesideLongPrompt ||
+                                    it.Cause == LossCause::PauseElsewhere
+                              : it.Cause == LossCause::None;
+    if (!isWanted || !it.IsUrgentStream)
       continue;
     ++result.Streams;
-    result.BesideLongPrompt += isBesideLongPrompt(id, call, readings) ? 1 : 0;
+    result.BesideLongPrompt += it.IsBesideLongPrompt ? 1 : 0;
   }
   return result;
 }
 
 LossCause LossTable::latenessOf(const std::string &id, const Call &call,
-                                const Readings &readings) const {
+                                bool isBesideLongPrompt) const {
   const absl::Duration first =
       call.FirstEvent > absl::ZeroDuration() ? call.FirstEvent : call.Took;
   if (call.Objective > absl::ZeroDuration() && first > call.Objective) {
@@ -167,14 +161,13 @@
     return isForeseen ? LossCause::LateAsPredicted : LossCause::LateUnforeseen;
   }
   if (call.GapObjective > absl::ZeroDuration() && call.Gap > call.GapObjective)
-    return isBesideLongPrompt(id, call, readings)
-               ? LossCause::PauseBesideLongPrompt
-               : LossCause::PauseElsewhere;
+    return isBesideLongPrompt ? LossCause::PauseBesideLongPrompt
+                              : LossCause::PauseElsewhere;
   return LossCause::None;
 }
 
 LossCause LossTable::causeOf(const std::string &id, const Call &call,
-                             const Readings &readings) const {
+                             bool isBesideLongPrompt) const {
   if (call.Aborted == "caller_gone")
     return LossCause::CallerLeft;
   if (call.Aborted == "out_of_time")
@@ -187,14 +180,19 @@
     return LossCause::NodeNotReady;
   if (call.Status >= FirstServerError)
     return LossCause::BackendFailure;
-  return call.Code.empty() ? latenessOf(id, call, readings) : LossCause::None;
+  return call.Code.empty() ? latenessOf(id, call, isBesideLongPrompt)
+                           : LossCause::None;
 }
 
 std::vector<CallLoss> LossTable::calls() const {
   const Readings readings = longReadings();
   std::vector<CallLoss> result;
-  for (const auto &[id, call] : Calls)
-    result.push_back({call.Route, call.ArrivedAt, causeOf(id, call, readings)});
+  for (const auto &[id, call] : Calls) {
+    const bool isStream = call.FirstEvent > absl::ZeroDuration();
+    const bool isBeside = isBesideLongPrompt(id, call, readings);
+    result.push_back({call.Route, call.ArrivedAt, causeOf(id, call, isBeside),
+                      isStream && isUrgent(id), isBeside});
+  }
   for (const auto &[id, attempts] : Attempts)
     if (!Calls.contains(id))
       result.push_back(
--- a/tests/lab/loss_table.h
+++ b/tests/lab/loss_table.h
@@ -33,14 +33,15 @@
   NodeEnded,
 };
 
-/// Returns the name of \p cause in tables.
-std::string_view lossCauseName(LossCause cause);
-
 /// One call and what became of it.
 struct CallLoss {
   std::string Route;
   absl::Time ArrivedAt;
   LossCause Cause = LossCause::None;
+  /// Whether it is an urgent prompt whose answer came as a stream.
+  bool IsUrgentStream = false;
+  /// Whether its engine read a long prompt while it wrote.
+  bool IsBesideLongPrompt = false;
 };
 
 /// How many urgent streams wrote on an engine that read a long prompt
@@ -97,9 +98,9 @@
   void readLine(std::string_view line);
   Readings longReadings() const;
   LossCause causeOf(const std::string &id, const Call &call,
-                    const Readings &readings) const;
+                    bool isBesideLongPrompt) const;
   LossCause latenessOf(const std::string &id, const Call &call,
-                       const Readings &readings) const;
+                       bool isBesideLongPrompt) const;
   bool isUrgent(const std::string &id) const;
   bool isBesideLongPrompt(const std::string &id, const Call &call,
                           const Readings &readings) const;
