Log and count how streamed answers are framed and end

The call line gets framing and inside_event for each attempt with a stream, and orioletally_stream_ends_total counts both.

No logic changes: relayStream() is split so that the state of the event buffer is recorded before its rest is forwarded.

--- a/drivers/metrics/relay_metrics.cpp
+++ b/drivers/metrics/relay_metrics.cpp
@@ -48,6 +48,11 @@
                    .Name("orioletally_attempts_total")
                    .Help("Attempts at backend servers, by outcome.")
                    .Register(Registry)),
+      StreamEnds(BuildCounter()
+                     .Name("orioletally_stream_ends_total")
+                     .Help("Streams of backend servers that ended, by framing "
+                           "and whether the last event was incomplete.")
+                     .Register(Registry)),
       LocalErrors(BuildCounter()
                       .Name("orioletally_own_answers_total")
                       .Help("Calls that this node itself answered with an "
@@ -98,6 +103,13 @@
   Attempts.Add({{"end", std::string(end)}}).Increment();
 }
 
+void RelayMetrics::streamEnded(std::string_view framing, bool isInsideEvent) {
+  StreamEnds
+      .Add({{"framing", std::string(framing)},
+            {"inside_event", isInsideEvent ? "yes" : "no"}})
+      .Increment();
+}
+
 void RelayMetrics::localErrorSent(std::string_view code) {
   LocalErrors.Add({{"code", std::string(code)}}).Increment();
 }
--- a/drivers/metrics/relay_metrics.h
+++ b/drivers/metrics/relay_metrics.h
@@ -25,6 +25,8 @@
   /// there was no prediction.
   void firstEvent(absl::Duration time, absl::Duration predicted);
   void attemptEnded(std::string_view end);
+  /// The body of a backend server's stream ended, completely or not.
+  void streamEnded(std::string_view framing, bool isInsideEvent);
   /// This node itself answered a call, with an error of this code.
   void localErrorSent(std::string_view code);
   void connectionOpened();
@@ -46,6 +48,7 @@
   prometheus::Histogram &FirstEvent;
   prometheus::Histogram &PredictionRatio;
   prometheus::Family<prometheus::Counter> &Attempts;
+  prometheus::Family<prometheus::Counter> &StreamEnds;
   prometheus::Family<prometheus::Counter> &LocalErrors;
   prometheus::Counter &Connections;
   prometheus::Family<prometheus::Counter> &StoreCalls;
--- a/drivers/relay/call_runner.cpp
+++ b/drivers/relay/call_runner.cpp
@@ -61,6 +61,13 @@
   return ids;
 }
 
+core::relay::BodyFraming framingOf(const AnswerParser &parser) {
+  if (parser.need_eof())
+    return core::relay::BodyFraming::ConnectionClose;
+  return parser.chunked() ? core::relay::BodyFraming::Chunks
+                          : core::relay::BodyFraming::Length;
+}
+
 /// Counts a call as in progress during its lifetime.
 class CallCount {
 public:
@@ -251,6 +258,7 @@
   step(CallStep::Chosen);
   Current = &dispatch;
   IsStalled = false;
+  LastStreamEnd.reset();
   Context.Dispatcher.sent(dispatch, startedAt);
   LastByteAt = startedAt;
   AttemptEnd end = AttemptEnd::NoMemory;
@@ -275,7 +283,8 @@
     markLeaving(*dispatch.Server, "another backend server has the address");
   Context.Metrics.attemptEnded(core::relay::attemptEndName(end));
   Attempts.push_back({dispatch.Server->Entry.Id, end, now - startedAt,
-                      dispatch.PredictedFirstToken, dispatch.Helpers.size()});
+                      dispatch.PredictedFirstToken, dispatch.Helpers.size(),
+                      LastStreamEnd});
   co_return end;
 }
 
@@ -496,6 +505,28 @@
     copyEndToEnd(parser.get(), *StreamHead,
                  [](std::string_view) { return false; });
   }
+  const core::relay::BodyFraming framing = framingOf(parser);
+  const AttemptEnd end = co_await relayEvents(parser, dispatch);
+  LastStreamEnd = {framing, Events.isInsideEvent()};
+  Context.Metrics.streamEnded(core::relay::bodyFramingName(framing),
+                              Events.isInsideEvent());
+  if (end != AttemptEnd::Answered)
+    co_return end;
+  const std::string rest = Events.takeRest();
+  if (!rest.empty()) {
+    const bool isWritten = co_await writeChunk(rest);
+    if (!isWritten) {
+      co_return Aborted.value_or(AttemptEnd::CallerGone);
+    }
+  }
+  returnChannel(parser);
+  if (!co_await finishStream())
+    co_return Aborted.value_or(AttemptEnd::CallerGone);
+  co_return AttemptEnd::Answered;
+}
+
+asio::awaitable<AttemptEnd> CallRunner::relayEvents(AnswerParser &parser,
+                                                    Dispatch &dispatch) {
   std::array<char, ReadBufferBytes> buf{};
   while (!parser.is_done()) {
     parser.get().body().data = buf.data();
@@ -526,16 +557,6 @@
       co_return isProtocolError(ec) ? AttemptEnd::Garbled
                                     : interruptedEnd(true);
   }
-  const std::string rest = Events.takeRest();
-  if (!rest.empty()) {
-    const bool isWritten = co_await writeChunk(rest);
-    if (!isWritten) {
-      co_return Aborted.value_or(AttemptEnd::CallerGone);
-    }
-  }
-  returnChannel(parser);
-  if (!co_await finishStream())
-    co_return Aborted.value_or(AttemptEnd::CallerGone);
   co_return AttemptEnd::Answered;
 }
 
@@ -728,12 +749,17 @@
       Route == nullptr ? "none" : core::routes::routeKindName(Route->Kind));
   Context.Metrics.callEnded(kind, Status, took);
   nlohmann::json tries = nlohmann::json::array();
-  for (const AttemptRecord &it : Attempts)
+  for (const AttemptRecord &it : Attempts) {
     tries.push_back({{"backend", it.Backend},
                      {"end", core::relay::attemptEndName(it.End)},
                      {"ms", absl::ToInt64Milliseconds(it.Took)},
                      {"predicted_ms", absl::ToInt64Milliseconds(it.Predicted)},
                      {"helpers", it.Helpers}});
+    if (!it.Stream.has_value())
+      continue;
+    tries.back()["framing"] = core::relay::bodyFramingName(it.Stream->Framing);
+    tries.back()["inside_event"] = it.Stream->IsInsideEvent;
+  }
   nlohmann::json line = {
       {"id", Head.AttemptId},
       {"route", Route == nullptr ? "" : Route->Name},
--- a/drivers/relay/call_runner.h
+++ b/drivers/relay/call_runner.h
@@ -2,6 +2,7 @@
 #define ORIOLETALLY_DRIVERS_RELAY_CALL_RUNNER_H
 
 #include "core/relay/attempt_policy.h"
+#include "core/relay/body_framing.h"
 #include "core/relay/call_lifecycle.h"
 #include "core/relay/event_stream.h"
 #include "drivers/relay/memory_lease.h"
@@ -34,12 +35,21 @@
   void abort(core::relay::AttemptEnd reason);
 
 private:
+  /// How the body of a streamed answer was framed, and whether its last event
+  /// was incomplete.
+  struct StreamEnd {
+    core::relay::BodyFraming Framing;
+    bool IsInsideEvent;
+  };
+
   struct AttemptRecord {
     std::string Backend;
     core::relay::AttemptEnd End;
     absl::Duration Took;
     absl::Duration Predicted;
     size_t Helpers;
+    /// Empty unless a stream began.
+    std::optional<StreamEnd> Stream;
   };
 
   /// Finds the route and the workspace and sets the deadline. Returns false if
@@ -73,6 +83,10 @@
   asio::awaitable<core::relay::AttemptEnd>
   relayStream(bhttp::response_parser<bhttp::buffer_body> &parser,
               core::relay::Dispatch &dispatch);
+  /// Reads a stream and writes its events to the caller until its body ends.
+  asio::awaitable<core::relay::AttemptEnd>
+  relayEvents(bhttp::response_parser<bhttp::buffer_body> &parser,
+              core::relay::Dispatch &dispatch);
   /// These four write to the caller and return false if that failed;
   /// writeChunk() also if the call was aborted meanwhile.
   asio::awaitable<bool> writeStreamHead();
@@ -131,6 +145,8 @@
   absl::Duration SilenceTimeout = absl::InfiniteDuration();
   /// Set when the whole call ends early.
   std::optional<core::relay::AttemptEnd> Aborted;
+  /// The end of the attempt's stream; empty unless one began.
+  std::optional<StreamEnd> LastStreamEnd;
   /// Whether the attempt in progress was abandoned because no bytes came for
   /// too long.
   bool IsStalled = false;
