Test that a stream which ends inside an event isn't complete

The caller gets the torn event and the last chunk, and the call counts as answered; on a resumable route no second engine is asked. The same happens where the length or the last chunk ends the body inside an event.

A whole stream without framing passes before and stays so.

--- a/tests/platform/test_relay.cpp
+++ b/tests/platform/test_relay.cpp
@@ -345,6 +345,77 @@
   LONGS_EQUAL(1, broken.attempts() + other.attempts());
 }
 
+TEST(Relay, WholeUnframedStreamIsComplete) {
+  StandInBackend engine(scripts::unframedStream(1, 3));
+  fixture.listBackend("i-1", "engine", engine.address());
+  CHECK(fixture.start(1));
+  const CallerAnswer answer = fixture.call("POST", "/once/x");
+  LONGS_EQUAL(200, answer.Status);
+  CHECK(answer.Complete);
+  STRCMP_EQUAL(events(1, 3).c_str(), answer.Body.c_str());
+  const nlohmann::json attempt = fixture.waitCallLog("a1")["attempts"][0];
+  STRCMP_EQUAL("connection_close",
+               attempt["framing"].get<std::string>().c_str());
+  CHECK_FALSE(attempt["inside_event"].get<bool>());
+}
+
+// An unframed stream that broke off inside an event was framed as complete.
+TEST(Relay, UnframedStreamThatEndsInsideAnEventIsNotComplete) {
+  StandInBackend engine(scripts::unframedStream(1, 3, "id: 4\nda"));
+  fixture.listBackend("i-1", "engine", engine.address());
+  CHECK(fixture.start(1));
+  const CallerAnswer answer = fixture.call("POST", "/once/x");
+  LONGS_EQUAL(200, answer.Status);
+  CHECK_FALSE(answer.Complete);
+  STRCMP_EQUAL(events(1, 3).c_str(), answer.Body.c_str());
+  LONGS_EQUAL(1, engine.attempts());
+}
+
+TEST(Relay, UnframedStreamThatEndsInsideAnEventResumesOnAnotherEngine) {
+  // Whichever engine is tried first breaks off; the other one continues.
+  std::atomic<int> calls = 0;
+  const auto script = [&](const lab::RawRequest &request,
+                          const lab::RawConnection &out) {
+    return ++calls == 1
+               ? scripts::unframedStream(1, 3, "id: 4\nda")(request, out)
+               : scripts::unframedStream(4, 6)(request, out);
+  };
+  StandInBackend first(script);
+  StandInBackend second(script);
+  fixture.listBackend("i-1", "engine", first.address());
+  fixture.listBackend("i-2", "engine", second.address());
+  CHECK(fixture.start(2));
+  const CallerAnswer answer = fixture.call("POST", "/ask/x");
+  LONGS_EQUAL(200, answer.Status);
+  CHECK(answer.Complete);
+  STRCMP_EQUAL(events(1, 6).c_str(), answer.Body.c_str());
+  LONGS_EQUAL(1, first.attempts());
+  LONGS_EQUAL(1, second.attempts());
+}
+
+// The announced length or the last chunk doesn't make a torn event complete.
+TEST(Relay, FramedStreamThatEndsInsideAnEventIsNotComplete) {
+  const std::string head = "HTTP/1.1 200 OK\r\nX-Orioletally-Attempt-Id: {id}"
+                           "\r\nX-Orioletally-Response-Signature: s\r\n"
+                           "Content-Type: text/event-stream\r\n";
+  const std::string torn = events(1, 1) + "id: 2\nda";
+  for (const std::string &text :
+       {fmt::format("{}Content-Length: {}\r\n\r\n{}", head, torn.size(), torn),
+        fmt::format("{}Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{}\r\n0\r\n"
+                    "\r\n",
+                    head, torn.size(), torn)}) {
+    RelayFixture node;
+    node.configure(1);
+    StandInBackend engine(scripts::bytes(text, false));
+    node.listBackend("i-1", "engine", engine.address());
+    CHECK(node.start(1));
+    const CallerAnswer answer = node.call("POST", "/once/x");
+    CHECK_EQUAL_TEXT(200, answer.Status, text.c_str());
+    CHECK_FALSE_TEXT(answer.Complete, text.c_str());
+    STRCMP_EQUAL_TEXT(events(1, 1).c_str(), answer.Body.c_str(), text.c_str());
+  }
+}
+
 TEST(Relay, LogContainsHelperEnginesAndRetryDelay) {
   StandInBackend engine(scripts::stream(1, 1, 10));
   for (const char *id : {"e-1", "e-2", "e-3", "e-4"})
--- a/tests/support/relay_fixture.cpp
+++ b/tests/support/relay_fixture.cpp
@@ -164,6 +164,17 @@
   };
 }
 
+StandInBackend::Script unframedStream(int from, int to,
+                                      const std::string &tail) {
+  return [from, to, tail](const RawRequest &request, const RawConnection &out) {
+    out.write(answerHead(request, "Content-Type: text/event-stream\r\n"));
+    for (int id = from; id <= to; ++id)
+      out.write(event(id));
+    out.write(tail);
+    return false;
+  };
+}
+
 StandInBackend::Script bytes(const std::string &text, bool close) {
   return [text, close](const RawRequest &request, const RawConnection &out) {
     std::string filled = text;
--- a/tests/support/relay_fixture.h
+++ b/tests/support/relay_fixture.h
@@ -57,6 +57,10 @@
 StandInBackend::Script stream(int from, int to, int gapMs);
 /// A stream that is aborted inside the event after \p to.
 StandInBackend::Script brokenStream(int to);
+/// A stream without length and chunks of the events \p from to \p to and then
+/// the bytes \p tail, which ends with its connection.
+StandInBackend::Script unframedStream(int from, int to,
+                                      const std::string &tail = "");
 /// The bytes of \p text, with "{id}" replaced by the attempt's id. Then closes
 /// the connection if \p close.
 StandInBackend::Script bytes(const std::string &text, bool close);
