Take a stream that ends inside an event for one that broke off

Cause: relayStream() took the end of the body for the end of the answer and forwarded whatever was left in the event buffer. For an answer with neither a length nor chunks the end of the body is the end of the connection, which a crash brings about as well. The state needed to tell was there (EventStream knows that it is inside an event) and wasn't asked. Class of fault: the end of a connection taken as proof of completeness. Deadline, silence and caller aborts were ruled out by the logs; these close the connection locally, which ends the read with an error.

An end inside an event is now Broken, whatever the framing: a resumable stream goes on at another engine after its last whole event, any other is cut off without a last chunk. A body that declares another type than text/event-stream is forwarded whole as before.

--- a/core/relay/attempt_policy.h
+++ b/core/relay/attempt_policy.h
@@ -27,7 +27,8 @@
   NotSent,
   /// Nothing was written because memory couldn't be reserved.
   NoMemory,
-  /// The connection broke after the call was written.
+  /// The connection broke after the call was written, or the stream ended
+  /// inside an event.
   Broken,
   /// No byte arrived within the silence timeout.
   Stalled,
--- a/core/relay/event_stream.h
+++ b/core/relay/event_stream.h
@@ -36,10 +36,12 @@
   /// dropped until restart().
   bool isOverlong() const { return Overlong; }
 
-  /// Whether bytes of an incomplete event are buffered.
+  /// Whether bytes of an incomplete event are buffered. A stream that ends in
+  /// this state has broken off, however its body was framed.
   bool isInsideEvent() const { return !Partial.empty(); }
 
-  /// Returns and clears the buffered bytes of the incomplete event.
+  /// Returns and clears the buffered bytes that no delimiter follows, for
+  /// bodies that don't consist of events.
   std::string takeRest();
 
 private:
--- a/drivers/relay/call_runner.cpp
+++ b/drivers/relay/call_runner.cpp
@@ -512,9 +512,10 @@
                               Events.isInsideEvent());
   if (end != AttemptEnd::Answered)
     co_return end;
-  const std::string rest = Events.takeRest();
-  if (!rest.empty()) {
-    const bool isWritten = co_await writeChunk(rest);
+  if (Events.isInsideEvent()) {
+    if (isEventStream(parser.get()))
+      co_return AttemptEnd::Broken;
+    const bool isWritten = co_await writeChunk(Events.takeRest());
     if (!isWritten) {
       co_return Aborted.value_or(AttemptEnd::CallerGone);
     }
--- a/drivers/relay/message_parts.cpp
+++ b/drivers/relay/message_parts.cpp
@@ -92,6 +92,12 @@
   return absl::Seconds(seconds);
 }
 
+bool isEventStream(const bhttp::fields &answer) {
+  const auto type = answer.find(bhttp::field::content_type);
+  return type == answer.end() || boost::algorithm::istarts_with(
+                                     view(type->value()), "text/event-stream");
+}
+
 bool isProtocolError(const boost::system::error_code &ec) {
   return ec.category() ==
              make_error_code(bhttp::error::bad_version).category() &&
--- a/drivers/relay/message_parts.h
+++ b/drivers/relay/message_parts.h
@@ -52,6 +52,10 @@
 /// Returns the timeout in the Keep-Alive header of \p answer; zero without one.
 absl::Duration keepAliveTime(const bhttp::fields &answer);
 
+/// Whether the body of \p answer to a streaming call consists of server-sent
+/// events, which is also assumed when it names no type.
+bool isEventStream(const bhttp::fields &answer);
+
 /// Whether \p ec reports malformed HTTP, as opposed to a connection that ended.
 bool isProtocolError(const boost::system::error_code &ec);
 
--- a/tests/platform/test_relay.cpp
+++ b/tests/platform/test_relay.cpp
@@ -416,6 +416,22 @@
   }
 }
 
+TEST(Relay, BodyThatIsNoEventStreamIsForwardedWhole) {
+  const std::string body = "{\"text\": \"no blank line\"}";
+  StandInBackend engine(scripts::bytes(
+      fmt::format("HTTP/1.1 200 OK\r\nX-Orioletally-Attempt-Id: {{id}}\r\n"
+                  "X-Orioletally-Response-Signature: s\r\n"
+                  "Content-Type: application/json\r\n"
+                  "Content-Length: {}\r\n\r\n{}",
+                  body.size(), body),
+      false));
+  fixture.listBackend("i-1", "engine", engine.address());
+  CHECK(fixture.start(1));
+  const CallerAnswer answer = fixture.call("POST", "/once/x");
+  CHECK(answer.Complete);
+  STRCMP_EQUAL(body.c_str(), answer.Body.c_str());
+}
+
 TEST(Relay, LogContainsHelperEnginesAndRetryDelay) {
   StandInBackend engine(scripts::stream(1, 1, 10));
   for (const char *id : {"e-1", "e-2", "e-3", "e-4"})
