Reset the connection of a caller without chunks when its stream is cut off

BrokenStreamResetsAConnectionWithoutChunks and ResetsAConnectionWithoutChunksAfterAnUnfinishedStream failed before and pass now; whole streams still end with an orderly close. platform.Relay 68 of 68, drivers.HttpServer 11 of 11.

--- a/drivers/http/http_reply.cpp
+++ b/drivers/http/http_reply.cpp
@@ -1,5 +1,7 @@
 #include "drivers/http/http_reply.h"
 
+#include "drivers/loop/message_framing.h"
+
 #include <fmt/format.h>
 #include <string_view>
 #include <utility>
@@ -7,12 +9,10 @@
 namespace orioletally::drivers::http {
 
 using loop::AsTuple;
+using loop::FirstChunkedVersion;
 
 namespace {
 
-/// HTTP/1.1, the first version with chunked encoding. Before it, the end of the
-/// connection ends a streamed body.
-constexpr unsigned FirstChunkedVersion = 11;
 constexpr std::string_view LastChunk = "0\r\n\r\n";
 
 std::string encodeChunk(std::string_view piece) {
--- a/drivers/http/http_session.cpp
+++ b/drivers/http/http_session.cpp
@@ -181,8 +181,12 @@
     co_return co_await sendResponse(std::move(reply.Answer), incoming.Version,
                                     keepAlive);
   }
-  // An unfinished stream must not look complete, so the connection is closed.
-  co_return reply.isFinished() && incoming.Version >= 11 && keepAlive;
+  // An unfinished stream must not look complete, so the connection is closed,
+  // and reset where a close would end the body.
+  const bool isChunked = incoming.Version >= loop::FirstChunkedVersion;
+  if (!reply.isFinished() && !isChunked)
+    loop::resetConnection(Stream.socket());
+  co_return reply.isFinished() && isChunked &&keepAlive;
 }
 
 asio::awaitable<bool> HttpSession::sendResponse(HttpResponse answer,
--- a/drivers/loop/connection_end.cpp
+++ b/drivers/loop/connection_end.cpp
@@ -47,6 +47,14 @@
   stream.close();
 }
 
+void resetConnection(asio::ip::tcp::socket &socket) {
+  // A close without lingering resets the connection; if the option can't be
+  // set, the connection is already gone.
+  boost::system::error_code ignored;
+  socket.set_option(asio::socket_base::linger(true, 0), ignored);
+  socket.close(ignored);
+}
+
 CancelAfter::CancelAfter(beast::tcp_stream &stream,
                          std::chrono::nanoseconds timeout)
     : Shared(std::make_shared<State>()), Timer(stream.get_executor(), timeout) {
--- a/drivers/loop/connection_end.h
+++ b/drivers/loop/connection_end.h
@@ -27,6 +27,10 @@
                                      beast::flat_buffer &buffer,
                                      size_t maxBytes);
 
+/// Closes \p socket with a TCP reset. The peer can't take this for the end of a
+/// body that ends with its connection.
+void resetConnection(asio::ip::tcp::socket &socket);
+
 /// Cancels a stream's operations after a timeout but leaves the stream open for
 /// writing; the expiry of beast::tcp_stream itself closes the stream.
 class CancelAfter {
--- a/drivers/relay/call_runner.cpp
+++ b/drivers/relay/call_runner.cpp
@@ -3,7 +3,9 @@
 #include "core/relay/silence_timeout.h"
 #include "drivers/clock/clock.h"
 #include "drivers/log/log.h"
+#include "drivers/loop/connection_end.h"
 #include "drivers/loop/endpoint.h"
+#include "drivers/loop/message_framing.h"
 #include "drivers/relay/message_parts.h"
 
 #include <algorithm>
@@ -24,6 +26,7 @@
 using core::relay::NextStep;
 using core::routes::RouteKind;
 using loop::AsTuple;
+using loop::FirstChunkedVersion;
 using AnswerParser = bhttp::response_parser<bhttp::buffer_body>;
 
 /// A slower connection isn't worth waiting for: this is about ten times the
@@ -112,6 +115,9 @@
     const bool isWritten = co_await writePlain();
     KeepCallerOpen = KeepCallerOpen && isWritten;
   }
+  if (Progress.Delivered && !IsStreamFinished &&
+      Request.version() < FirstChunkedVersion)
+    loop::resetConnection(Caller);
   step(CallStep::Settled);
   Timer.cancel();
   logEnd();
@@ -566,7 +572,7 @@
     co_return true;
   Status = static_cast<int>(StreamHead->result_int());
   Progress.Delivered = true;
-  if (Request.version() >= 11)
+  if (Request.version() >= FirstChunkedVersion)
     StreamHead->chunked(true);
   else
     KeepCallerOpen = false;
@@ -584,7 +590,7 @@
   const absl::Time phaseEnd = PhaseEnd;
   setPhaseEnd(clock::steadyNow() + CallerWriteTimeout);
   bool isDone = co_await writeStreamHead();
-  if (isDone && Request.version() >= 11) {
+  if (isDone && Request.version() >= FirstChunkedVersion) {
     const auto [ec, n] = co_await asio::async_write(
         Caller, bhttp::make_chunk(asio::buffer(bytes)), AsTuple);
     isDone = !ec;
@@ -601,11 +607,14 @@
 asio::awaitable<bool> CallRunner::finishStream() {
   if (!co_await writeStreamHead())
     co_return false;
-  if (Request.version() < 11)
-    co_return true;
-  const auto [ec, n] =
-      co_await asio::async_write(Caller, bhttp::make_chunk_last(), AsTuple);
-  co_return !ec;
+  if (Request.version() >= FirstChunkedVersion) {
+    const auto [ec, n] =
+        co_await asio::async_write(Caller, bhttp::make_chunk_last(), AsTuple);
+    IsStreamFinished = !ec;
+  } else {
+    IsStreamFinished = true;
+  }
+  co_return IsStreamFinished;
 }
 
 asio::awaitable<bool> CallRunner::writePlain() {
--- a/tests/drivers/test_http_server.cpp
+++ b/tests/drivers/test_http_server.cpp
@@ -4,6 +4,7 @@
 #include "tests/lab/raw_server.h"
 
 #include <atomic>
+#include <fmt/format.h>
 #include <httplib.h>
 #include <sys/resource.h>
 #include <thread>
@@ -203,6 +204,31 @@
   CHECK_FALSE(result.Complete);
 }
 
+// Before HTTP/1.1, the end of the connection is what makes a body complete.
+TEST(HttpServer, ResetsAConnectionWithoutChunksAfterAnUnfinishedStream) {
+  RunningServer running(settingsOf(0, 10));
+  running.Server.routes().add(
+      "GET", "/", [](HttpRequest &, HttpReply &reply) -> asio::awaitable<void> {
+        co_await reply.write("half");
+      });
+  running.Server.routes().add(
+      "GET", "/whole",
+      [](HttpRequest &, HttpReply &reply) -> asio::awaitable<void> {
+        co_await reply.write("whole");
+        co_await reply.finish();
+      });
+  CHECK(running.start());
+  for (const std::string path : {"/", "/whole"}) {
+    const auto caller =
+        lab::connectTo(fmt::format("127.0.0.1:{}", running.Server.port()));
+    caller->write(fmt::format("GET {} HTTP/1.0\r\nHost: x\r\n\r\n", path));
+    std::string received;
+    const bool isReset = caller->isResetWithin(2'000, received);
+    CHECK_EQUAL_TEXT(path == "/", isReset, path.c_str());
+    CHECK(received.ends_with(path == "/" ? "half" : "whole"));
+  }
+}
+
 TEST(HttpServer, NotifiesTheHandlerWhenTheCallerDisconnects) {
   RunningServer running(settingsOf(0, 10));
   std::atomic<bool> isNotified = false;
--- a/tests/lab/raw_server.cpp
+++ b/tests/lab/raw_server.cpp
@@ -2,6 +2,7 @@
 
 #include <absl/strings/ascii.h>
 #include <arpa/inet.h>
+#include <cerrno>
 #include <cstdlib>
 #include <netinet/in.h>
 #include <poll.h>
@@ -118,6 +119,19 @@
   return ::recv(Fd, &c, 1, MSG_PEEK) <= 0;
 }
 
+bool RawConnection::isResetWithin(int ms, std::string &received) const {
+  std::string buf(ReadBytes, '\0');
+  for (;;) {
+    pollfd it{Fd, POLLIN, 0};
+    if (::poll(&it, 1, ms) != 1)
+      return false;
+    const ssize_t n = ::recv(Fd, buf.data(), buf.size(), 0);
+    if (n <= 0)
+      return n < 0 && errno == ECONNRESET;
+    received.append(buf.data(), static_cast<size_t>(n));
+  }
+}
+
 void RawConnection::reset() const {
   const linger now{1, 0};
   ::setsockopt(Fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
--- a/tests/lab/raw_server.h
+++ b/tests/lab/raw_server.h
@@ -41,6 +41,9 @@
   std::string receiveAll(int ms) const;
   /// Returns whether the peer closes within \p ms, before it sends anything.
   bool closesWithin(int ms) const;
+  /// Appends all bytes until the peer closes to \p received; returns whether
+  /// it closed with a TCP reset within \p ms.
+  bool isResetWithin(int ms, std::string &received) const;
   /// Makes the close send a TCP reset.
   void reset() const;
   void shutdown() const;
--- a/tests/platform/test_relay.cpp
+++ b/tests/platform/test_relay.cpp
@@ -432,6 +432,31 @@
   STRCMP_EQUAL(body.c_str(), answer.Body.c_str());
 }
 
+// Before HTTP/1.1, the end of the connection is what makes a body complete.
+TEST(Relay, BrokenStreamResetsAConnectionWithoutChunks) {
+  StandInBackend broken(scripts::brokenStream(3));
+  fixture.listBackend("i-1", "engine", broken.address());
+  CHECK(fixture.start(1));
+  const auto caller = lab::connectTo(fixture.CallsAddress);
+  caller->write("POST /once/x HTTP/1.0\r\nHost: a.example\r\nAuthorization: "
+                "Token key-n\r\nX-Orioletally-Attempt-Id: old\r\n\r\n");
+  std::string received;
+  CHECK(caller->isResetWithin(3'000, received));
+  CHECK(received.ends_with(events(1, 3)));
+}
+
+TEST(Relay, WholeStreamClosesAConnectionWithoutChunks) {
+  StandInBackend engine(scripts::stream(1, 3, 1));
+  fixture.listBackend("i-1", "engine", engine.address());
+  CHECK(fixture.start(1));
+  const auto caller = lab::connectTo(fixture.CallsAddress);
+  caller->write("POST /once/x HTTP/1.0\r\nHost: a.example\r\nAuthorization: "
+                "Token key-n\r\nX-Orioletally-Attempt-Id: old\r\n\r\n");
+  std::string received;
+  CHECK_FALSE(caller->isResetWithin(3'000, received));
+  CHECK(received.ends_with(events(1, 3)));
+}
+
 TEST(Relay, LogContainsHelperEnginesAndRetryDelay) {
   StandInBackend engine(scripts::stream(1, 1, 10));
   for (const char *id : {"e-1", "e-2", "e-3", "e-4"})
