Read the ids of a prompt's parts and log them with the call

The logs name the engines and how the attempts ended, but not what the prompts had in common, so the prompt that crashes an engine can't be told from the dozen that were being answered there. The call line gets the parts; nothing decides by them yet.

--- a/core/relay/call_head.h
+++ b/core/relay/call_head.h
@@ -34,6 +34,9 @@
   int64_t AnswerTokens = 0;
   /// The caller's estimate of the number of tokens of the answer.
   std::optional<int64_t> ExpectedAnswerTokens;
+  /// Ids of the prompt's parts in order, which prompts may share; the last one
+  /// belongs to this prompt or its session alone. Empty if unspecified.
+  std::vector<std::string> PromptParts;
   /// Id of the last event that the caller received, when it resumes a stream.
   std::optional<int64_t> ResumeAfter;
 };
--- a/drivers/relay/call_runner.cpp
+++ b/drivers/relay/call_runner.cpp
@@ -777,6 +777,7 @@
       {"workspace", Workspace},
       {"config", Config == nullptr ? 0 : Config->version()},
       {"prompt", Head.PromptTokens},
+      {"parts", Head.PromptParts},
       {"status", Status},
       {"first_ms", absl::ToInt64Milliseconds(FirstEventAfter)},
       {"gap_ms", absl::ToInt64Milliseconds(LongestGap)},
--- a/tests/platform/test_codecs.cpp
+++ b/tests/platform/test_codecs.cpp
@@ -148,6 +148,21 @@
   STRCMP_EQUAL("abc", head.Key.c_str());
 }
 
+TEST(HeaderCodec, ReadsTheIdsOfPromptParts) {
+  const platform::HeaderCodec codec;
+  const std::vector<std::pair<std::string, std::vector<std::string>>> cases = {
+      {"5c1e07a2:800,91bd3f06:410,e4402b7d:250",
+       {"5c1e07a2", "91bd3f06", "e4402b7d"}},
+      {" a:1 , b ,:3,,c:x:y", {"a", "b", "c"}},
+      {"", {}},
+      {",:,", {}}};
+  for (const auto &[text, expected] : cases) {
+    const std::vector<core::relay::HeaderView> headers = {
+        {"x-orioletally-prompt-prefix", text}};
+    CHECK_TEXT(codec.decodeCall(headers).PromptParts == expected, text.c_str());
+  }
+}
+
 TEST(HeaderCodec, IgnoresInvalidNumbers) {
   for (const char *text : {"", "x", "-5", "1e3", "99999999999999999999"}) {
     const std::vector<core::relay::HeaderView> headers = {
