Test that a prompt part which crashes engines is quarantined

After the fifth crash and 3 s, calls with the part must be refused and reach no engine, on the node that saw the crashes, on others, on one that starts later and after a restart of all; sound calls with the same key and the same other parts must be served.

--- a/tests/platform/test_relay.cpp
+++ b/tests/platform/test_relay.cpp
@@ -32,6 +32,55 @@
     "HTTP/1.1 500 X\r\nX-Orioletally-Attempt-Id: {id}\r\n"
     "X-Orioletally-Response-Signature: bad\r\nContent-Length: 3\r\n\r\nerr";
 
+/// Time after the fifth crash in which a quarantine must be in force, as the
+/// platform states it (stable_window_ms).
+constexpr std::chrono::seconds QuarantineDeadline(3);
+
+/// Engines that crash when they begin to answer a prompt with a certain part.
+class CrashingEngines {
+public:
+  CrashingEngines(RelayFixture &fixture, int count) {
+    for (int n = 0; n < count; ++n) {
+      Engines.push_back(std::make_unique<StandInBackend>(
+          [this](const lab::RawRequest &request,
+                 const lab::RawConnection &out) {
+            const bool isCrash =
+                request.header("x-orioletally-prompt-prefix").find("bad:") !=
+                std::string::npos;
+            if (!isCrash)
+              return scripts::stream(1, 3, 1)(request, out);
+            ++Crashes;
+            return scripts::brokenStream(1)(request, out);
+          }));
+      fixture.listBackend(fmt::format("e-{}", n), "engine",
+                          Engines.back()->address());
+    }
+  }
+
+  CallerAnswer askSound(const RelayFixture &node) const {
+    return ask(node, "first:40,shared:500,{}:100");
+  }
+  CallerAnswer askCrashing(const RelayFixture &node) const {
+    return ask(node, "first:40,bad:300,shared:500,{}:90");
+  }
+  int crashes() const { return Crashes; }
+
+private:
+  /// \p parts has a place for the id of the prompt's own part.
+  CallerAnswer ask(const RelayFixture &node, const std::string &parts) const {
+    const std::string own = fmt::format("p{}", ++Prompts);
+    return node.call("POST", "/ask/x",
+                     fmt::format("X-Orioletally-Attempt-Id: {}\r\n"
+                                 "X-Orioletally-Token-Counts: 900,10\r\n"
+                                 "X-Orioletally-Prompt-Prefix: {}\r\n",
+                                 own, fmt::format(fmt::runtime(parts), own)));
+  }
+
+  std::atomic<int> Crashes = 0;
+  mutable int Prompts = 0;
+  std::vector<std::unique_ptr<StandInBackend>> Engines;
+};
+
 } // namespace
 
 TEST_GROUP(Relay) {
@@ -457,6 +506,84 @@
   CHECK(received.ends_with(events(1, 3)));
 }
 
+// A prompt part that crashes every engine was sent to one after the other.
+TEST(Relay, PromptPartThatCrashesEnginesIsQuarantined) {
+  const CrashingEngines engines(fixture, 3);
+  CHECK(fixture.start(3));
+  for (int n = 0; n < 5; ++n)
+    CHECK(engines.askSound(fixture).Complete);
+  for (int n = 0; n < 40 && engines.crashes() < 5; ++n) {
+    engines.askCrashing(fixture);
+    std::this_thread::sleep_for(std::chrono::milliseconds(120));
+  }
+  CHECK(engines.crashes() >= 5);
+  std::this_thread::sleep_for(QuarantineDeadline);
+  const int before = engines.crashes();
+  for (int n = 0; n < 20; ++n) {
+    const CallerAnswer answer = engines.askCrashing(fixture);
+    LONGS_EQUAL(503, answer.Status);
+    CHECK(std::atof(answer.header("retry-after").c_str()) > 0);
+    // The caller, the first part and other parts are those of sound prompts.
+    CHECK(engines.askSound(fixture).Complete);
+  }
+  CHECK(engines.crashes() - before <= 3);
+}
+
+TEST(Relay, QuarantineIsInForceOnAllNodes) {
+  const CrashingEngines engines(fixture, 3);
+  std::vector<std::unique_ptr<RelayFixture>> nodes;
+  for (const char *name : {"n2", "n3"})
+    nodes.push_back(std::make_unique<RelayFixture>(fixture, name));
+  CHECK(fixture.start(3));
+  for (const auto &it : nodes) {
+    CHECK(it->start(3));
+    CHECK(it->Process.waitEvent("peer_found", std::chrono::seconds(15))
+              .has_value());
+  }
+  // Only this node knows that the other parts are sound.
+  CHECK(engines.askSound(fixture).Complete);
+  std::vector<RelayFixture *> all = {&fixture, nodes[0].get(), nodes[1].get()};
+  for (size_t n = 0; n < 40 && engines.crashes() < 5; ++n) {
+    engines.askCrashing(*all[n % all.size()]);
+    std::this_thread::sleep_for(std::chrono::milliseconds(120));
+  }
+  std::this_thread::sleep_for(QuarantineDeadline);
+  // A node that starts now must learn of it as well.
+  nodes.push_back(std::make_unique<RelayFixture>(fixture, "n4"));
+  CHECK(nodes.back()->start(3));
+  std::this_thread::sleep_for(QuarantineDeadline);
+  all.push_back(nodes.back().get());
+  const int before = engines.crashes();
+  for (int n = 0; n < 5; ++n)
+    for (RelayFixture *it : all) {
+      LONGS_EQUAL(503, engines.askCrashing(*it).Status);
+      CHECK(engines.askSound(*it).Complete);
+    }
+  CHECK(engines.crashes() - before <= 3);
+}
+
+TEST(Relay, QuarantineOutlastsARestartOfAllNodes) {
+  const CrashingEngines engines(fixture, 3);
+  CHECK(fixture.start(3));
+  CHECK(engines.askSound(fixture).Complete);
+  for (int n = 0; n < 40 && engines.crashes() < 5; ++n) {
+    engines.askCrashing(fixture);
+    std::this_thread::sleep_for(std::chrono::milliseconds(120));
+  }
+  std::this_thread::sleep_for(QuarantineDeadline);
+  fixture.Process.signal(SIGKILL);
+  fixture.Process.waitExit(std::chrono::seconds(5));
+  RelayFixture next(fixture, "n2");
+  CHECK(next.start(3));
+  std::this_thread::sleep_for(QuarantineDeadline);
+  const int before = engines.crashes();
+  for (int n = 0; n < 10; ++n) {
+    LONGS_EQUAL(503, engines.askCrashing(next).Status);
+    CHECK(engines.askSound(next).Complete);
+  }
+  CHECK(engines.crashes() - before <= 3);
+}
+
 TEST(Relay, LogContainsHelperEnginesAndRetryDelay) {
   StandInBackend engine(scripts::stream(1, 1, 10));
   for (const char *id : {"e-1", "e-2", "e-3", "e-4"})
