Quarantine prompt parts that crash every engine that answers them

Cause: a broken attempt counted against its engine only, and the retry took the prompt to the next one. That the prompts had a part in common was known nowhere. Ruled out by the parts in the log: crashes at random (no call with the part was ever answered, all others' parts were), and crashes by moved load (none before the part came, load as in calm).

core/relay/prompt_quarantine finds the part from the crashes that all nodes of a cell report and the answers that they have had; a decision goes to all nodes, into heartbeats and the store. Calls with a quarantined part are refused at once. It keys on nothing but the parts.

--- a/core/errors/request_error.cpp
+++ b/core/errors/request_error.cpp
@@ -13,7 +13,7 @@
   int Status;
 };
 
-constexpr std::array<CodeRow, 18> CodeTable = {{
+constexpr std::array<CodeRow, 19> CodeTable = {{
     {ErrorCode::BadRequest, "bad_request", 400},
     {ErrorCode::Unauthorized, "unauthorized", 401},
     {ErrorCode::Forbidden, "forbidden", 403},
@@ -30,6 +30,7 @@
     {ErrorCode::BackendFailed, "backend_failed", 503},
     {ErrorCode::DeadlineExceeded, "deadline_exceeded", 504},
     {ErrorCode::PlatformUnavailable, "platform_unavailable", 503},
+    {ErrorCode::PromptQuarantined, "prompt_quarantined", 503},
     {ErrorCode::CallerGone, "caller_gone", 499},
     {ErrorCode::Internal, "internal", 500},
 }};
--- a/core/errors/request_error.h
+++ b/core/errors/request_error.h
@@ -29,6 +29,7 @@
   BackendFailed,
   DeadlineExceeded,
   PlatformUnavailable,
+  PromptQuarantined,
   CallerGone,
   Internal,
 };
--- a/core/platform/fleet_source.h
+++ b/core/platform/fleet_source.h
@@ -3,6 +3,7 @@
 
 #include "core/fleet/backend_entry.h"
 #include "core/platform/fleet_topic.h"
+#include "core/relay/quarantined_part.h"
 #include "core/routes/routing_config.h"
 
 #include <cstdint>
@@ -48,6 +49,10 @@
   /// The list of all registered nodes was read; it may include this one.
   virtual void nodesRead(const std::vector<NodeEntry> &nodes) = 0;
 
+  /// The quarantined parts of prompts were read.
+  virtual void
+  quarantineRead(const std::vector<relay::QuarantinedPart> &parts) = 0;
+
   /// The key with which nodes authenticate each other was read. Returns whether
   /// it is usable.
   virtual bool peerKeyRead(const std::string &key) = 0;
@@ -95,6 +100,10 @@
   /// since they were read.
   virtual void unregisterNodes(std::vector<NodeEntry> nodes) = 0;
 
+  /// Stores quarantined parts of prompts, so that nodes that start later read
+  /// them. Repeats the write until the store has answered it.
+  virtual void storeQuarantine(std::vector<relay::QuarantinedPart> parts) = 0;
+
   /// Parses a configuration that another node forwarded. Calls rowRejected()
   /// and returns null when it is invalid.
   virtual std::shared_ptr<const routes::RoutingConfig>
--- a/core/platform/fleet_topic.cpp
+++ b/core/platform/fleet_topic.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 constexpr std::array<std::string_view, FleetTopicCount> TopicNames = {
-    "config", "backends", "nodes"};
+    "config", "backends", "nodes", "quarantine"};
 } // namespace
 
 std::string_view fleetTopicName(FleetTopic topic) {
--- a/core/platform/fleet_topic.h
+++ b/core/platform/fleet_topic.h
@@ -7,9 +7,9 @@
 namespace orioletally::core::platform {
 
 /// The kinds of data that a FleetSource reads from the store.
-enum class FleetTopic { Config, Backends, Nodes };
+enum class FleetTopic { Config, Backends, Nodes, Quarantine };
 
-constexpr size_t FleetTopicCount = 3;
+constexpr size_t FleetTopicCount = 4;
 
 /// Returns the name of \p topic in logs and metrics.
 std::string_view fleetTopicName(FleetTopic topic);
--- a/core/relay/dispatcher.cpp
+++ b/core/relay/dispatcher.cpp
@@ -350,9 +350,9 @@
 }
 
 void Dispatcher::firstToken(Dispatch &dispatch, absl::Time now) {
-  if (dispatch.Speed == nullptr || dispatch.IsFirstTokenSeen)
+  if (dispatch.Speed == nullptr || dispatch.FirstTokenAt.has_value())
     return;
-  dispatch.IsFirstTokenSeen = true;
+  dispatch.FirstTokenAt = now;
   dispatch.Server->Load.firstToken(dispatch.LoadId, now, *dispatch.Speed);
   dispatch.Server->Health.observeLatency(now - dispatch.SentAt,
                                          dispatch.PredictedFirstToken);
@@ -373,7 +373,7 @@
   dispatch.Server->Load.remove(dispatch.LoadId, now, *dispatch.Speed);
   sendLoadUpdate(dispatch, *dispatch.Server, LoadUpdateKind::Ended, {});
   for (size_t n = 0; n < dispatch.Helpers.size(); ++n) {
-    if (dispatch.IsFirstTokenSeen && dispatch.Reserved[n] == 0)
+    if (dispatch.FirstTokenAt.has_value() && dispatch.Reserved[n] == 0)
       continue;
     dispatch.Helpers[n]->Load.remove(dispatch.LoadId, now, *dispatch.Speed);
     sendLoadUpdate(dispatch, *dispatch.Helpers[n], LoadUpdateKind::Ended, {});
--- a/core/relay/dispatcher.h
+++ b/core/relay/dispatcher.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <variant>
@@ -53,7 +54,8 @@
   int64_t AnswerTokens = 0;
   /// The longest pause between two events that meets the caller's objective.
   absl::Duration GapObjective = absl::InfiniteDuration();
-  bool IsFirstTokenSeen = false;
+  /// When the first event of the answer arrived, if it did.
+  std::optional<absl::Time> FirstTokenAt;
 };
 
 /// Parameters of a Dispatcher.
--- a/drivers/metrics/relay_metrics.cpp
+++ b/drivers/metrics/relay_metrics.cpp
@@ -68,6 +68,13 @@
                      .Help("Calls to the platform's store, by topic and "
                            "whether they were answered.")
                      .Register(Registry)),
+      CrashReports(BuildCounter()
+                       .Name("orioletally_crash_reports_total")
+                       .Help("Prompts that a backend server was beginning to "
+                             "answer when it crashed, by source.")
+                       .Register(Registry)),
+      QuarantinedParts(gauge(Registry, "orioletally_quarantined_parts",
+                             "Parts of prompts in quarantine.")),
       InProgress(gauge(Registry, "orioletally_calls_in_progress",
                        "Calls in progress.")),
       ConfigVersion(gauge(Registry, "orioletally_config_version",
@@ -116,6 +123,14 @@
 
 void RelayMetrics::connectionOpened() { Connections.Increment(); }
 
+void RelayMetrics::crashReported(std::string_view source) {
+  CrashReports.Add({{"source", std::string(source)}}).Increment();
+}
+
+void RelayMetrics::setQuarantinedParts(int64_t n) {
+  QuarantinedParts.Set(static_cast<double>(n));
+}
+
 void RelayMetrics::storeCall(std::string_view topic, bool isAnswered) {
   StoreCalls
       .Add({{"topic", std::string(topic)},
--- a/drivers/metrics/relay_metrics.h
+++ b/drivers/metrics/relay_metrics.h
@@ -30,6 +30,10 @@
   /// This node itself answered a call, with an error of this code.
   void localErrorSent(std::string_view code);
   void connectionOpened();
+  /// A backend server crashed as it began to answer a prompt, seen by this node
+  /// ("own") or reported by another ("peer").
+  void crashReported(std::string_view source);
+  void setQuarantinedParts(int64_t n);
   void storeCall(std::string_view topic, bool isAnswered);
   void setInProgress(int64_t n);
   void setConfigVersion(uint64_t version);
@@ -52,6 +56,8 @@
   prometheus::Family<prometheus::Counter> &LocalErrors;
   prometheus::Counter &Connections;
   prometheus::Family<prometheus::Counter> &StoreCalls;
+  prometheus::Family<prometheus::Counter> &CrashReports;
+  prometheus::Gauge &QuarantinedParts;
   prometheus::Gauge &InProgress;
   prometheus::Gauge &ConfigVersion;
   prometheus::Gauge &Backends;
--- a/drivers/relay/call_runner.cpp
+++ b/drivers/relay/call_runner.cpp
@@ -165,9 +165,27 @@
   Events =
       core::relay::EventStream(Head.ResumeAfter, Context.Limits.MaxEventBytes);
   describeDemand();
+  if (const auto error = quarantineError()) {
+    answerWithError(*error);
+    return false;
+  }
   return true;
 }
 
+std::optional<RequestError> CallRunner::quarantineError() const {
+  const auto found = Context.Guard.findQuarantined(Head.PromptParts);
+  if (!found.has_value())
+    return std::nullopt;
+  return core::errors::RequestErrorBuilder(
+             ErrorCode::PromptQuarantined,
+             fmt::format("part {} of the prompt crashes backend servers",
+                         found->Part))
+      .rule(fmt::format("quarantine of prompt part {}", found->Part))
+      .retryAfterMs(absl::ToInt64Milliseconds(
+          absl::Ceil(found->TimeLeft, absl::Milliseconds(1))))
+      .build();
+}
+
 void CallRunner::describeDemand() {
   Demand.Route = Route;
   Demand.Config = Config;
@@ -193,7 +211,11 @@
   AttemptEnd last = AttemptEnd::NotSent;
   for (;;) {
     absl::Time now = clock::steadyNow();
-    auto chosen = Context.Dispatcher.choose(Demand, now);
+    std::variant<Dispatch, RequestError> chosen;
+    if (const auto error = quarantineError())
+      chosen = *error;
+    else
+      chosen = Context.Dispatcher.choose(Demand, now);
     if (const auto *error = std::get_if<RequestError>(&chosen)) {
       if (Progress.Delivered)
         KeepCallerOpen = false;
@@ -265,6 +287,7 @@
   Current = &dispatch;
   IsStalled = false;
   LastStreamEnd.reset();
+  IsPromptSound = false;
   Context.Dispatcher.sent(dispatch, startedAt);
   LastByteAt = startedAt;
   AttemptEnd end = AttemptEnd::NoMemory;
@@ -285,6 +308,14 @@
   }
   Demand.Tried.push_back(dispatch.Server->Entry.Id);
   Context.Dispatcher.ended(dispatch, end, now);
+  if (dispatch.Speed != nullptr)
+    Context.Guard.recordEnd(Head.AttemptId,
+                            {dispatch.Server->Entry.Id, end,
+                             dispatch.FirstTokenAt,
+                             LastStreamEnd.has_value() &&
+                                 LastStreamEnd->Framing !=
+                                     core::relay::BodyFraming::ConnectionClose},
+                            Head.PromptParts);
   if (end == AttemptEnd::WrongBackend)
     markLeaving(*dispatch.Server, "another backend server has the address");
   Context.Metrics.attemptEnded(core::relay::attemptEndName(end));
@@ -544,7 +575,7 @@
     std::string out = Events.push({buf.data(), got});
     if (!out.empty()) {
       const absl::Time now = clock::steadyNow();
-      if (!dispatch.IsFirstTokenSeen)
+      if (!dispatch.FirstTokenAt.has_value())
         Context.Metrics.firstEvent(now - ArrivedAt,
                                    dispatch.PredictedFirstToken);
       if (FirstEventAfter == absl::ZeroDuration())
@@ -552,6 +583,9 @@
       else
         LongestGap = std::max(LongestGap, now - LastByteAt);
       Context.Dispatcher.firstToken(dispatch, now);
+      if (!IsPromptSound && dispatch.FirstTokenAt.has_value())
+        IsPromptSound = Context.Guard.recordProgress(Head.PromptParts,
+                                                     *dispatch.FirstTokenAt);
       LastByteAt = now;
       Context.Dispatcher.answerBytesReceived(dispatch, now);
       setSilenceTimeout(core::relay::eventGapTimeout(*Route));
--- a/drivers/relay/call_runner.h
+++ b/drivers/relay/call_runner.h
@@ -56,6 +56,9 @@
   /// the call is answered with an error instead.
   bool admit();
   void answerWithError(const core::errors::RequestError &error);
+  /// Returns the error of a call whose prompt has a quarantined part; empty for
+  /// any other call.
+  std::optional<core::errors::RequestError> quarantineError() const;
   /// Makes attempts until the call has an answer or fails.
   asio::awaitable<void> attempts();
   asio::awaitable<core::relay::AttemptEnd>
@@ -150,6 +153,8 @@
   /// Whether the attempt in progress was abandoned because no bytes came for
   /// too long.
   bool IsStalled = false;
+  /// Whether the attempt's answer has shown that the prompt's parts are sound.
+  bool IsPromptSound = false;
   /// Whether the retry after the attempt in progress has already been taken
   /// from the budget.
   bool IsRetryCharged = false;
--- a/drivers/relay/fleet_view.cpp
+++ b/drivers/relay/fleet_view.cpp
@@ -122,6 +122,12 @@
     OnNodesRead(nodes);
 }
 
+void FleetView::quarantineRead(
+    const std::vector<core::relay::QuarantinedPart> &parts) {
+  storeCallAnswered(FleetTopic::Quarantine);
+  Context.Guard.quarantineRead(parts);
+}
+
 bool FleetView::peerKeyRead(const std::string &key) {
   return !OnPeerKeyRead || OnPeerKeyRead(key);
 }
@@ -138,7 +144,7 @@
   Context.Metrics.storeCall(core::platform::fleetTopicName(topic), false);
   const absl::Time now = clock::steadyNow();
   // The store may stay down for long, so calls no longer wait at the gate.
-  if (topic != FleetTopic::Nodes)
+  if (topic == FleetTopic::Config || topic == FleetTopic::Backends)
     Context.Gate.open();
   if (topic == FleetTopic::Backends)
     Context.Dispatcher.directory().setListUnavailable(now);
--- a/drivers/relay/fleet_view.h
+++ b/drivers/relay/fleet_view.h
@@ -45,6 +45,8 @@
   void
   backendsChanged(std::vector<core::fleet::BackendChange> changes) override;
   void nodesRead(const std::vector<core::platform::NodeEntry> &nodes) override;
+  void quarantineRead(
+      const std::vector<core::relay::QuarantinedPart> &parts) override;
   bool peerKeyRead(const std::string &key) override;
   void nodeUnregistered(const core::platform::NodeEntry &node,
                         bool isRemoved) override;
--- a/drivers/relay/node_update.cpp
+++ b/drivers/relay/node_update.cpp
@@ -9,8 +9,10 @@
 namespace {
 
 using core::fleet::BackendChange;
+using core::relay::CrashReport;
 using core::relay::LoadUpdate;
 using core::relay::LoadUpdateKind;
+using core::relay::QuarantinedPart;
 
 /// Longer times in messages are clamped to this, an hour.
 constexpr uint64_t MaxSpanMs = 3'600'000;
@@ -81,6 +83,30 @@
   return change;
 }
 
+void encode(const CrashReport &report, proto::CrashNews &message) {
+  message.set_backend(report.Backend);
+  message.set_prompt(report.Prompt);
+  for (const std::string &it : report.Parts)
+    message.add_parts(it);
+}
+
+CrashReport decode(const proto::CrashNews &message) {
+  return {message.backend(),
+          message.prompt(),
+          {message.parts().begin(), message.parts().end()}};
+}
+
+void encode(const QuarantinedPart &part, proto::QuarantineNews &message) {
+  message.set_part(part.Part);
+  message.set_left_ms(static_cast<uint64_t>(
+      clampTo(absl::ToInt64Milliseconds(part.TimeLeft), MaxSpanMs)));
+}
+
+QuarantinedPart decode(const proto::QuarantineNews &message) {
+  return {message.part(),
+          absl::Milliseconds(std::min(message.left_ms(), MaxSpanMs))};
+}
+
 /// Returns the milliseconds since \p at, plus one; 0 for never.
 uint64_t encodeAge(absl::Time at, absl::Time now) {
   if (at == absl::InfinitePast())
@@ -115,6 +141,13 @@
     message.add_leaving(it);
   message.set_wants_config(update.WantsConfig);
   message.set_config(update.Config);
+  for (const CrashReport &it : update.Crashes)
+    encode(it, *message.add_crashes());
+  for (const std::string &it : update.SoundParts)
+    message.add_sound_parts(it);
+  for (const QuarantinedPart &it : update.Quarantined)
+    encode(it, *message.add_quarantined());
+  message.set_fleet_wide(update.IsFleetWide);
   return message.SerializeAsString();
 }
 
@@ -140,6 +173,13 @@
   update.Leaving.assign(message.leaving().begin(), message.leaving().end());
   update.WantsConfig = message.wants_config();
   update.Config = message.config();
+  for (const proto::CrashNews &it : message.crashes())
+    update.Crashes.push_back(decode(it));
+  update.SoundParts.assign(message.sound_parts().begin(),
+                           message.sound_parts().end());
+  for (const proto::QuarantineNews &it : message.quarantined())
+    update.Quarantined.push_back(decode(it));
+  update.IsFleetWide = message.fleet_wide();
   return update;
 }
 
--- a/drivers/relay/node_update.h
+++ b/drivers/relay/node_update.h
@@ -3,6 +3,7 @@
 
 #include "core/fleet/backend_entry.h"
 #include "core/relay/load_update.h"
+#include "core/relay/prompt_quarantine.h"
 
 #include <absl/time/time.h>
 #include <cstdint>
@@ -38,6 +39,13 @@
   /// Text of the sender's configuration as stored by the platform; empty
   /// unless the receiver asked for it.
   std::string Config;
+  std::vector<core::relay::CrashReport> Crashes;
+  /// Ids of prompt parts that the sender knows to be sound.
+  std::vector<std::string> SoundParts;
+  std::vector<core::relay::QuarantinedPart> Quarantined;
+  /// Whether nodes of all cells receive the message; those of other cells use
+  /// nothing but Quarantined.
+  bool IsFleetWide = false;
 };
 
 /// Serializes \p update, to be sent at \p now: times become ages.
--- a/drivers/relay/peer_link.cpp
+++ b/drivers/relay/peer_link.cpp
@@ -26,6 +26,9 @@
 /// An ended prompt only frees capacity, so its update can wait to be sent
 /// together with others.
 constexpr absl::Duration EndedFlushDelay = absl::Milliseconds(100);
+/// Well below the time that nodes wait for objections to a quarantine. Reports
+/// of one crash come from many nodes within this time and need one answer.
+constexpr absl::Duration SoundFlushDelay = absl::Milliseconds(50);
 /// Longest time between two messages to the cell.
 constexpr absl::Duration HeartbeatInterval = absl::Seconds(1);
 /// Nothing is sent to a node that has sent nothing for this long.
@@ -107,6 +110,27 @@
   flushWithin(SentFlushDelay);
 }
 
+void PeerLink::announceCrash(const core::relay::CrashReport &report) {
+  PendingCrashes.push_back(report);
+  flushWithin(SentFlushDelay);
+}
+
+void PeerLink::announceSoundParts(const std::vector<std::string> &parts) {
+  PendingSoundParts.insert(parts.begin(), parts.end());
+  flushWithin(SoundFlushDelay);
+}
+
+void PeerLink::announceQuarantine() {
+  IsQuarantinePending = true;
+  flush();
+  NodeUpdate update = makeNodeUpdate();
+  update.Quarantined = Handlers.QuarantinedParts();
+  update.IsFleetWide = true;
+  const std::string bytes = encodeNodeUpdate(update, clock::steadyNow());
+  for (const std::string &it : OtherCellAddresses)
+    send(it, bytes);
+}
+
 void PeerLink::announceConfig() {
   if (shouldWatchStore(FleetTopic::Config, clock::steadyNow()))
     flushWithin(SentFlushDelay);
@@ -125,11 +149,13 @@
   std::vector<NodeEntry> cellNodes;
   std::vector<std::string> names;
   bool hasNew = false;
+  OtherCellAddresses.clear();
   for (const NodeEntry &it : nodes) {
     const bool isInCell =
         cell.empty() || std::binary_search(cell.begin(), cell.end(), it.Name);
     if (!isInCell) {
       Peers.erase(it.Name);
+      OtherCellAddresses.push_back(it.PeerAddress);
       continue;
     }
     cellNodes.push_back(it);
@@ -172,6 +198,11 @@
   update.LoadUpdates = std::exchange(PendingLoadUpdates, {});
   if (std::exchange(IsLeavingPending, false))
     update.Leaving = Handlers.LeavingBackendIds();
+  update.Crashes = std::exchange(PendingCrashes, {});
+  update.SoundParts.assign(PendingSoundParts.begin(), PendingSoundParts.end());
+  PendingSoundParts.clear();
+  if (std::exchange(IsQuarantinePending, false))
+    update.Quarantined = Handlers.QuarantinedParts();
   sendToCell(update);
 }
 
@@ -201,6 +232,8 @@
     co_await HeartbeatTimer.async_wait(loop::AsTuple);
     if (Stopping)
       co_return;
+    // Repeated with each heartbeat, because any message may be lost.
+    IsQuarantinePending = true;
     flush();
   }
 }
@@ -213,6 +246,10 @@
   const auto known = Peers.find(update->Node);
   if (known != Peers.end() && update->Incarnation < known->second.Incarnation)
     return;
+  if (!update->Quarantined.empty())
+    Handlers.OnPeerQuarantine(update->Quarantined);
+  if (update->IsFleetWide && known == Peers.end())
+    return;
   updatePeer(*update, now);
   WatchPolicy.recordMessage(update->Node, now);
   WatchPolicy.recordStoreAnswer(update->Node, FleetTopic::Config,
@@ -226,6 +263,10 @@
                                   std::move(update->Backends));
   if (!update->Leaving.empty())
     Handlers.OnPeerLeavingBackends(update->Leaving);
+  for (const core::relay::CrashReport &it : update->Crashes)
+    Handlers.OnPeerCrash(it);
+  if (!update->SoundParts.empty())
+    Handlers.OnPeerSoundParts(update->SoundParts);
   if (!update->Config.empty())
     Handlers.OnPeerConfig(update->Config);
   catchUp(*update, now);
--- a/drivers/relay/peer_link.h
+++ b/drivers/relay/peer_link.h
@@ -16,6 +16,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -43,12 +44,18 @@
   std::function<std::string()> ConfigText;
   /// Ids of all backend servers known to be leaving.
   std::function<std::vector<std::string>()> LeavingBackendIds;
+  std::function<void(const core::relay::CrashReport &)> OnPeerCrash;
+  std::function<void(const std::vector<std::string> &)> OnPeerSoundParts;
+  std::function<void(const std::vector<core::relay::QuarantinedPart> &)>
+      OnPeerQuarantine;
+  /// All prompt parts in quarantine.
+  std::function<std::vector<core::relay::QuarantinedPart>()> QuarantinedParts;
 };
 
 /// Exchanges updates with the other nodes of the cell: prompts sent to engines,
-/// changes of the backend servers, leaving backend servers and the version of
-/// the configuration. Updates that affect placement are sent within a few
-/// milliseconds. Any message may be lost.
+/// changes of the backend servers, leaving backend servers, crashes under
+/// prompts and the version of the configuration. Updates that affect placement
+/// are sent within a few milliseconds. Any message may be lost.
 class PeerLink {
 public:
   PeerLink(asio::io_context &loop, core::platform::NodeEntry self,
@@ -75,6 +82,15 @@
   void announceBackendChanges(
       uint64_t since, const std::vector<core::fleet::BackendChange> &changes);
 
+  /// Queues a report of a crash, or ids of sound prompt parts, to be sent to
+  /// the cell.
+  void announceCrash(const core::relay::CrashReport &report);
+  void announceSoundParts(const std::vector<std::string> &parts);
+
+  /// Immediately sends the quarantined prompt parts to all registered nodes,
+  /// because the cells don't learn of each other's crashes.
+  void announceQuarantine();
+
   /// Updates the peers from all registered nodes. \p cell holds the sorted
   /// names of the nodes in this node's cell; when it is empty, all nodes are
   /// peers.
@@ -133,11 +149,16 @@
   core::fleet::StoreWatchPolicy WatchPolicy;
   core::fleet::CatchUp ConfigCatchUp;
   core::fleet::CatchUp BackendsCatchUp;
+  /// Addresses of the registered nodes in other cells.
+  std::vector<std::string> OtherCellAddresses;
   std::vector<core::relay::LoadUpdate> PendingLoadUpdates;
+  std::vector<core::relay::CrashReport> PendingCrashes;
+  std::set<std::string> PendingSoundParts;
   asio::steady_timer FlushTimer;
   asio::steady_timer HeartbeatTimer;
   absl::Time FlushAt = absl::InfiniteFuture();
   bool IsLeavingPending = false;
+  bool IsQuarantinePending = false;
   bool Stopping = false;
 };
 
--- a/drivers/relay/relay_context.h
+++ b/drivers/relay/relay_context.h
@@ -8,6 +8,7 @@
 #include "drivers/loop/asio_use.h"
 #include "drivers/metrics/relay_metrics.h"
 #include "drivers/relay/backend_channel.h"
+#include "drivers/relay/prompt_guard.h"
 #include "drivers/relay/start_gate.h"
 
 #include <cstdint>
@@ -38,6 +39,7 @@
   /// Delays calls that arrive before the configuration and the backend servers
   /// have been read.
   StartGate &Gate;
+  PromptGuard &Guard;
   ChannelPool Channels;
   /// When SIGTERM was received; infinite future before that.
   absl::Time DrainingSince = absl::InfiniteFuture();
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -141,17 +141,18 @@
         CallChart(std::move(chart)),
         Calls(dispatcherSettings(values, incarnation)),
         Start(Loop, drivers::clock::steadyNow()),
-        Context{Loop,
-                Calls,
-                Codec,
-                Metrics,
-                CallChart,
-                Start,
-                {},
-                absl::InfiniteFuture(),
-                0,
-                answerLimits(values),
-                [this] { Peers.announceLeaving(); }},
+        Guard(Loop, Metrics), Context{Loop,
+                                      Calls,
+                                      Codec,
+                                      Metrics,
+                                      CallChart,
+                                      Start,
+                                      Guard,
+                                      {},
+                                      absl::InfiniteFuture(),
+                                      0,
+                                      answerLimits(values),
+                                      [this] { Peers.announceLeaving(); }},
         View(Context), Self(selfEntry(values, incarnation)),
         Source(Loop, storeSettings(values, Self)),
         Peers(Loop, Self, peerHandlers()), Server(Context),
@@ -161,6 +162,7 @@
     Calls.setLoadUpdateHandler([this](const core::relay::LoadUpdate &it) {
       Peers.announceLoadUpdate(it);
     });
+    Guard.setHandlers(guardHandlers());
     View.setConfigChangedHandler([this] { Peers.announceConfig(); });
     View.setBackendsChangedHandler([this](uint64_t since, const auto &changes) {
       Peers.announceBackendChanges(since, changes);
@@ -279,6 +281,32 @@
                                        : Calls.config()->source();
     };
     handlers.LeavingBackendIds = [this] { return Calls.directory().leaving(); };
+    handlers.OnPeerCrash = [this](const core::relay::CrashReport &it) {
+      Guard.applyReport(it);
+    };
+    handlers.OnPeerSoundParts = [this](const std::vector<std::string> &parts) {
+      Guard.applySound(parts);
+    };
+    handlers.OnPeerQuarantine =
+        [this](const std::vector<core::relay::QuarantinedPart> &parts) {
+          Guard.applyQuarantine(parts);
+        };
+    handlers.QuarantinedParts = [this] { return Guard.quarantined(); };
+    return handlers;
+  }
+
+  drivers::relay::PromptGuardHandlers guardHandlers() {
+    drivers::relay::PromptGuardHandlers handlers;
+    handlers.AnnounceCrash = [this](const core::relay::CrashReport &it) {
+      Peers.announceCrash(it);
+    };
+    handlers.AnnounceSound = [this](const std::vector<std::string> &parts) {
+      Peers.announceSoundParts(parts);
+    };
+    handlers.AnnounceQuarantine = [this] { Peers.announceQuarantine(); };
+    handlers.Store = [this](std::vector<core::relay::QuarantinedPart> parts) {
+      Source.storeQuarantine(std::move(parts));
+    };
     return handlers;
   }
 
@@ -379,6 +407,7 @@
     }
     IsCleanExit = Context.InProgress == 0;
     Server.stopAccepting();
+    Guard.stop();
     Source.stop();
     Peers.stop();
     Loop.stop();
@@ -392,6 +421,7 @@
   platform::HeaderCodec Codec;
   drivers::metrics::RelayMetrics Metrics;
   drivers::relay::StartGate Start;
+  drivers::relay::PromptGuard Guard;
   drivers::relay::RelayContext Context;
   drivers::relay::FleetView View;
   core::platform::NodeEntry Self;
--- a/tests/platform/test_codecs.cpp
+++ b/tests/platform/test_codecs.cpp
@@ -232,6 +232,16 @@
                failingField([] { return decodeRows("not json"); }).c_str());
 }
 
+TEST(RowCodec, WritesAndRemovesRowsOfOneTable) {
+  StoreRow row;
+  row.Key = "a";
+  row.Value = "node-1";
+  STRCMP_EQUAL(R"({"delete":[{"key":"b","part":"","table":"t"}],)"
+               R"("expected_rev":[],"put":[{"key":"a","part":"",)"
+               R"("table":"t","value":"bm9kZS0x"}]})",
+               encodeWrite("t", {row}, {"b"}).c_str());
+}
+
 TEST(RowCodec, EscapesKeys) {
   STRCMP_EQUAL("/orioletally/rows-get?table=a%20b&part=&from=x%26y%01",
                rowsTarget("a b", "x&y").c_str());
--- a/tests/platform/test_decoders.cpp
+++ b/tests/platform/test_decoders.cpp
@@ -167,6 +167,9 @@
   update.Backends[1].Removed = true;
   update.Leaving = {"i-1", "i-2"};
   update.Config = "{}";
+  update.Crashes = {{"i-1", "own", {"a", "b"}}, {"i-2", "other", {"c"}}};
+  update.SoundParts = {"d", "e"};
+  update.Quarantined = {{"f", absl::Seconds(9)}};
   const std::string bytes =
       drivers::relay::encodeNodeUpdate(update, at(10'000));
   std::mt19937_64 random(Seed);
@@ -185,6 +188,9 @@
             it.Kind <= core::relay::LoadUpdateKind::Ended);
     for (const core::fleet::BackendChange &it : decoded->Backends)
       CHECK(it.ExpiresIn <= absl::Hours(1));
+    for (const core::relay::QuarantinedPart &it : decoded->Quarantined)
+      CHECK(it.TimeLeft >= absl::ZeroDuration() &&
+            it.TimeLeft <= absl::Hours(1));
   }
   CHECK(count > 0 && count < Mutations);
 }
@@ -201,6 +207,10 @@
   change.Removed = true;
   change.ExpiresIn = absl::Milliseconds(700);
   update.Backends.push_back(change);
+  update.Crashes = {{"i-1", "own", {"a", "b"}}};
+  update.SoundParts = {"c"};
+  update.Quarantined = {{"d", absl::Milliseconds(1'500)}};
+  update.IsFleetWide = true;
   const auto decoded = drivers::relay::decodeNodeUpdate(
       drivers::relay::encodeNodeUpdate(update, at(10'000)), at(20'000));
   CHECK(decoded.has_value());
@@ -210,6 +220,14 @@
   LONGS_EQUAL(38, decoded->BackendsSince);
   CHECK(decoded->Backends[0].Removed);
   CHECK(decoded->Backends[0].ExpiresIn == absl::Milliseconds(700));
+  LONGS_EQUAL(1, decoded->Crashes.size());
+  STRCMP_EQUAL("i-1", decoded->Crashes[0].Backend.c_str());
+  STRCMP_EQUAL("own", decoded->Crashes[0].Prompt.c_str());
+  CHECK(decoded->Crashes[0].Parts == std::vector<std::string>({"a", "b"}));
+  CHECK(decoded->SoundParts == std::vector<std::string>({"c"}));
+  STRCMP_EQUAL("d", decoded->Quarantined[0].Part.c_str());
+  CHECK(decoded->Quarantined[0].TimeLeft == absl::Milliseconds(1'500));
+  CHECK(decoded->IsFleetWide);
 }
 
 TEST(Decoders, EventStreamNeverEmitsMoreThanItReceives) {
