Don't continue a broken stream with an answer that is no stream

Reported by other operators: a stream broke off, the next backend server answered with an error, and callers found its text in their stream, or the stream ended as if it were complete.

Error statuses were safe here already: an answer that isn't a success ends the attempt, and the stream is cut off. But any 2xx counted as the rest of the stream: a 204 ended it as complete, and a 200 with a JSON body was appended to it. Now only a 200 that is an event stream, or names no type, continues one; anything else is garbled.

AnswerThatIsNoStreamDoesNotContinueABrokenStream tries seven answers (500 with and without framing, 503, 404, 204, 200 with JSON, garbage); it failed at the 204 before.

--- a/drivers/relay/call_runner.cpp
+++ b/drivers/relay/call_runner.cpp
@@ -487,6 +487,8 @@
       co_return AttemptEnd::Garbled;
     if (Progress.Delivered && !isSuccess)
       co_return AttemptEnd::Failed;
+    if (Progress.Delivered && !canContinueStream(parser.get()))
+      co_return AttemptEnd::Garbled;
     if (isSuccess && Route->Kind == RouteKind::Streaming)
       co_return co_await relayStream(parser, dispatch);
     co_return co_await readPlain(parser, status >= 500);
--- a/drivers/relay/message_parts.cpp
+++ b/drivers/relay/message_parts.cpp
@@ -98,6 +98,10 @@
                                      view(type->value()), "text/event-stream");
 }
 
+bool canContinueStream(const bhttp::response_header<> &answer) {
+  return answer.result() == bhttp::status::ok && isEventStream(answer);
+}
+
 bool isProtocolError(const boost::system::error_code &ec) {
   return ec.category() ==
              make_error_code(bhttp::error::bad_version).category() &&
--- a/drivers/relay/message_parts.h
+++ b/drivers/relay/message_parts.h
@@ -56,6 +56,10 @@
 /// events, which is also assumed when it names no type.
 bool isEventStream(const bhttp::fields &answer);
 
+/// Whether the body of the successful answer \p answer can be appended to a
+/// stream that broke off at another backend server.
+bool canContinueStream(const bhttp::response_header<> &answer);
+
 /// Whether \p ec reports malformed HTTP, as opposed to a connection that ended.
 bool isProtocolError(const boost::system::error_code &ec);
 
--- a/tests/platform/test_relay.cpp
+++ b/tests/platform/test_relay.cpp
@@ -584,6 +584,40 @@
   CHECK(engines.crashes() - before <= 3);
 }
 
+// An error of the engine that was to continue a stream was appended to it.
+TEST(Relay, AnswerThatIsNoStreamDoesNotContinueABrokenStream) {
+  const std::string answerHead = "X-Orioletally-Attempt-Id: {id}\r\n"
+                                 "X-Orioletally-Response-Signature: s\r\n";
+  for (const std::string &text :
+       {std::string(ServerErrorAnswer), std::string(NotExecutedAnswer),
+        "HTTP/1.1 404 X\r\n" + answerHead + "Content-Length: 4\r\n\r\nnone",
+        "HTTP/1.1 500 X\r\n" + answerHead + "\r\nid: 4\ndata: no\n\n",
+        "HTTP/1.1 204 X\r\n" + answerHead + "\r\n",
+        "HTTP/1.1 200 X\r\n" + answerHead +
+            "Content-Type: application/json\r\nContent-Length: 15\r\n\r\n"
+            "{\"error\":\"no\"}",
+        std::string("garbage\r\n\r\n")}) {
+    RelayFixture node;
+    node.configure(1);
+    std::atomic<int> calls = 0;
+    const auto script = [&](const lab::RawRequest &request,
+                            const lab::RawConnection &out) {
+      return ++calls == 1 ? scripts::brokenStream(3)(request, out)
+                          : scripts::bytes(text, true)(request, out);
+    };
+    StandInBackend first(script);
+    StandInBackend second(script);
+    node.listBackend("i-1", "engine", first.address());
+    node.listBackend("i-2", "engine", second.address());
+    CHECK(node.start(2));
+    const CallerAnswer answer = node.call("POST", "/ask/x");
+    CHECK_EQUAL_TEXT(2, calls.load(), text.c_str());
+    CHECK_EQUAL_TEXT(200, answer.Status, text.c_str());
+    CHECK_FALSE_TEXT(answer.Complete, text.c_str());
+    STRCMP_EQUAL_TEXT(events(1, 3).c_str(), answer.Body.c_str(), text.c_str());
+  }
+}
+
 TEST(Relay, LogContainsHelperEnginesAndRetryDelay) {
   StandInBackend engine(scripts::stream(1, 1, 10));
   for (const char *id : {"e-1", "e-2", "e-3", "e-4"})
