Don't believe a refusal without an id on a kept connection

Reported by other operators: a faulty backend server wrote an earlier refusal once more on a kept connection, and callers were told that a call hadn't been executed which had, or it was executed twice.

A refusal with another call's id was garbled here already. One without an id was believed on any connection: the call was sent to a second backend server, also where it may not be repeated. A connection is closed after each refusal, so on one that has carried calls it can only be told whose a refusal is by its id. Without it the answer is garbled now: 502, and no second attempt at an unrepeatable call. On a fresh connection nothing else can be meant, and 421 without an id, which the platform shows, is still believed there.

RepeatedRefusalOnAKeptConnectionIsNotBelieved (503 and 421, without id and with another's) failed before: the call was executed twice.

--- a/drivers/relay/call_runner.cpp
+++ b/drivers/relay/call_runner.cpp
@@ -471,6 +471,11 @@
         Context.Codec.decodeAnswer(headerViews(parser.get()));
     if (!head.AttemptId.empty() && head.AttemptId != Head.AttemptId)
       co_return AttemptEnd::Garbled;
+    // A refusal without the call's id on a connection that carried earlier
+    // calls may be meant for one of those.
+    const bool isRefusal = status == 421 || head.NotExecuted;
+    if (isRefusal && head.AttemptId.empty() && Channel->Reused)
+      co_return AttemptEnd::Garbled;
     applyServerState(head, status, dispatch);
     if (status == 421)
       co_return AttemptEnd::WrongBackend;
--- a/tests/platform/test_relay.cpp
+++ b/tests/platform/test_relay.cpp
@@ -618,6 +618,48 @@
   }
 }
 
+// A refusal repeated on a kept connection told callers that a call which had
+// been executed hadn't been.
+TEST(Relay, RepeatedRefusalOnAKeptConnectionIsNotBelieved) {
+  for (const std::string &refusal :
+       {std::string("HTTP/1.1 503 X\r\nX-Orioletally-Not-Executed: 1\r\n"
+                    "Content-Length: 0\r\n\r\n"),
+        std::string("HTTP/1.1 421 X\r\nX-Orioletally-Instance-Id: i-9\r\n"
+                    "Content-Length: 0\r\n\r\n"),
+        std::string("HTTP/1.1 503 X\r\nX-Orioletally-Not-Executed: 1\r\n"
+                    "X-Orioletally-Attempt-Id: earlier\r\n"
+                    "Content-Length: 0\r\n\r\n"),
+        std::string("HTTP/1.1 421 X\r\nX-Orioletally-Instance-Id: i-9\r\n"
+                    "X-Orioletally-Attempt-Id: earlier\r\n"
+                    "Content-Length: 0\r\n\r\n")}) {
+    RelayFixture node;
+    node.configure(1);
+    std::atomic<int> calls = 0;
+    const auto script = [&](const lab::RawRequest &request,
+                            const lab::RawConnection &out) {
+      return ++calls == 1 ? scripts::answer("hello")(request, out)
+                          : scripts::bytes(refusal, true)(request, out);
+    };
+    StandInBackend backend(script);
+    node.listBackend("i-1", "plain", backend.address());
+    CHECK(node.start(1));
+    LONGS_EQUAL(200, node.call("POST", "/write/x", "", "b").Status);
+    StandInBackend other(scripts::answer("executed twice"));
+    node.listBackend("i-2", "plain", other.address());
+    CHECK(node.Process.waitEvent("backend_changed", std::chrono::seconds(2))
+              .has_value());
+    for (int n = 0; n < 20 && backend.attempts() < 2; ++n) {
+      const int before = other.attempts();
+      const CallerAnswer answer = node.call("POST", "/write/x", "", "b");
+      if (backend.attempts() < 2)
+        continue;
+      CHECK_EQUAL_TEXT(502, answer.Status, refusal.c_str());
+      CHECK_EQUAL_TEXT(before, other.attempts(), refusal.c_str());
+    }
+    CHECK_EQUAL_TEXT(2, backend.attempts(), refusal.c_str());
+  }
+}
+
 TEST(Relay, LogContainsHelperEnginesAndRetryDelay) {
   StandInBackend engine(scripts::stream(1, 1, 10));
   for (const char *id : {"e-1", "e-2", "e-3", "e-4"})
