--- a/tests/platform/test_codecs.cpp
+++ b/tests/platform/test_codecs.cpp
@@ -123,6 +123,26 @@
   STRCMP_EQUAL(
       "born",
       entryFailingField(replaced(text, "1700000000000", "\"x\"")).c_str());
+  for (const char *port :
+       {":99999", ":65536", ":0", ":-1", ":", ":80x", ": 80"})
+    STRCMP_EQUAL("address",
+                 entryFailingField(replaced(text, ":80", port)).c_str());
+  for (const char *number :
+       {":9223372036854775807", ":9223372036854775808", ":18446744073709551615",
+        ":99999999999999999999", ":1000001", ":0", ":-1"})
+    STRCMP_EQUAL("slots",
+                 entryFailingField(replaced(text, ":6", number)).c_str());
+  for (const char *number : {"9223372036854775808", "18446744073709551615"})
+    STRCMP_EQUAL(
+        "born",
+        entryFailingField(replaced(text, "1700000000000", number)).c_str());
+  // A number beyond what a double holds isn't JSON.
+  STRCMP_EQUAL("i-1",
+               entryFailingField(replaced(text, ":6", ":1e999")).c_str());
+  STRCMP_EQUAL("i-1", entryFailingField(std::string(60'000, '[')).c_str());
+  STRCMP_EQUAL("i-1", entryFailingField(std::string(30'000, '[') +
+                                        std::string(30'000, ']'))
+                          .c_str());
   STRCMP_EQUAL("i-1", entryFailingField("\xff\xfe not json").c_str());
   STRCMP_EQUAL("i-1", entryFailingField("").c_str());
   STRCMP_EQUAL("i-1", entryFailingField("7").c_str());
--- a/tests/platform/test_relay.cpp
+++ b/tests/platform/test_relay.cpp
@@ -660,6 +660,69 @@
   }
 }
 
+// One odd entry must not end the node or hide later changes of the list.
+TEST(Relay, OddBackendEntriesAreSkipped) {
+  const auto entryWith = [](const std::string &key, const std::string &value) {
+    nlohmann::json entry = {{"service", "plain"}, {"address", "127.0.0.1:1"},
+                            {"zone", "z"},        {"slots", 16},
+                            {"state", "ready"},   {"born", 5}};
+    entry.erase(key);
+    std::string text = entry.dump();
+    text.pop_back();
+    return fmt::format("{},\"{}\":{}}}", text, key, value);
+  };
+  const std::string nested =
+      std::string(20'000, '[') + std::string(20'000, ']');
+  std::string objects = "1";
+  for (int n = 0; n < 5'000; ++n)
+    objects = "{\"a\":" + objects + "}";
+  const std::vector<std::string> odd = {
+      nested,
+      std::string(40'000, '['),
+      entryWith("models", nested),
+      entryWith("slots", objects),
+      entryWith("slots", "1e400"),
+      entryWith("slots", "99999999999999999999"),
+      entryWith("slots", "18446744073709551615"),
+      entryWith("slots", "9223372036854775807"),
+      entryWith("born", "1e30"),
+      entryWith("address", "\"127.0.0.1:99999\""),
+      entryWith("address", "\"127.0.0.1:-1\""),
+      entryWith("address", "\"127.0.0.1:0\""),
+      entryWith("address", "\":\""),
+      entryWith("address", "\"127.0.0.1:8080 \""),
+      entryWith("service", "\"\\u0000\"")};
+  StandInBackend backend(scripts::answer("hello"));
+  fixture.listBackend("i-1", "plain", backend.address());
+  CHECK(fixture.start(1));
+  for (size_t n = 0; n < odd.size(); ++n) {
+    fixture.Store.put("servers", fmt::format("odd-{}", n), odd[n]);
+    StandInBackend next(scripts::answer("next"));
+    const std::string id = fmt::format("next-{}", n);
+    fixture.listBackend(id, "plain", next.address());
+    const std::string label = odd[n].substr(0, 200);
+    CHECK_TEXT(within(2'000,
+                      [&] {
+                        fixture.call("GET", "/read/x");
+                        return next.attempts() > 0;
+                      }),
+               label.c_str());
+    fixture.unlistBackend(id);
+    fixture.unlistBackend(fmt::format("odd-{}", n));
+  }
+  // A node that starts reads them all at once.
+  for (size_t n = 0; n < odd.size(); ++n)
+    fixture.Store.put("servers", fmt::format("odd-{}", n), odd[n]);
+  RelayFixture other(fixture, "n2");
+  other.Process.start({"entry", "--settings", other.writeSettings("")});
+  CHECK(other.Process.waitEvent("backends_read_whole", std::chrono::seconds(15))
+            .has_value());
+  CHECK(within(2'000,
+               [&] { return other.call("GET", "/read/x").Status == 200; }));
+  fixture.Process.signal(SIGTERM);
+  LONGS_EQUAL(0, fixture.Process.waitExit(std::chrono::seconds(9)));
+}
+
 TEST(Relay, LogContainsHelperEnginesAndRetryDelay) {
   StandInBackend engine(scripts::stream(1, 1, 10));
   for (const char *id : {"e-1", "e-2", "e-3", "e-4"})
