Send the other messages when one node's address is invalid

Found by looking for the reported fault (an odd entry in a list that nodes read) in the list of nodes: an entry whose port is out of range made ZeroMQ refuse the connection. The exception discarded all messages that were queued behind it, at each try, so the peers after it in the order heard nothing; at the stop it was thrown outside any handler and would have ended the process by std::terminate.

PeerTransport InvalidAddressAffectsNoOtherMessage failed before (no message arrived) and passes now.

--- a/drivers/peer/peer_transport.cpp
+++ b/drivers/peer/peer_transport.cpp
@@ -1,8 +1,10 @@
 #include "drivers/peer/peer_transport.h"
 
 #include "drivers/clock/clock.h"
+#include "drivers/log/log.h"
 
 #include <array>
+#include <cerrno>
 #include <cstring>
 #include <fmt/format.h>
 #include <sys/eventfd.h>
@@ -27,6 +29,7 @@
 constexpr int UnboundedQueue = 0;
 /// Messages that wait for the thread; further ones are dropped.
 constexpr size_t MaxQueuedMessages = 4096;
+constexpr size_t MaxInvalidAddresses = 1000;
 constexpr int64_t MaxMessageBytes = 16 << 20;
 /// How long a closing socket goes on sending its queued messages.
 constexpr int LingerMs = 100;
@@ -204,11 +207,26 @@
       due.push_back(std::move(it));
   std::erase_if(DelayedMessages,
                 [&](const QueuedMessage &it) { return it.DueAt <= now; });
-  for (const QueuedMessage &it : due) {
-    const auto n = outbound(it.Address)
-                       .send(zmq::buffer(it.Bytes), zmq::send_flags::dontwait);
+  for (const QueuedMessage &it : due)
+    sendOne(it);
+}
+
+void PeerTransport::sendOne(const QueuedMessage &message) {
+  if (InvalidAddresses.contains(message.Address))
+    return;
+  try {
+    const auto n =
+        outbound(message.Address)
+            .send(zmq::buffer(message.Bytes), zmq::send_flags::dontwait);
     if (n.has_value())
-      Counts.SentBytes += it.Bytes.size();
+      Counts.SentBytes += message.Bytes.size();
+  } catch (const zmq::error_t &ec) {
+    log::write(
+        log::Level::Warn, "peer_message_not_sent",
+        {{"address", message.Address}, {"reason", std::string(ec.what())}});
+    // Anything else may succeed for the next message.
+    if (ec.num() == EINVAL && InvalidAddresses.size() < MaxInvalidAddresses)
+      InvalidAddresses.insert(message.Address);
   }
 }
 
--- a/drivers/peer/peer_transport.h
+++ b/drivers/peer/peer_transport.h
@@ -2,6 +2,7 @@
 #define ORIOLETALLY_DRIVERS_PEER_PEER_TRANSPORT_H
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 #include <absl/time/time.h>
 #include <atomic>
 #include <boost/leaf.hpp>
@@ -91,6 +92,8 @@
   void run();
   void receiveAll();
   void sendQueued();
+  /// Sends one message, or logs why it can't be sent.
+  void sendOne(const QueuedMessage &message);
   std::chrono::milliseconds pollTimeout() const;
   /// Answers requests of ZeroMQ whether to accept a peer by its public key.
   void answerAuthentication();
@@ -111,6 +114,8 @@
   /// Receives events about failed handshakes with Inbound.
   zmq::socket_t Monitor;
   absl::flat_hash_map<std::string, Outbound> Outbounds;
+  /// Nothing is sent to these, so that they are logged once.
+  absl::flat_hash_set<std::string> InvalidAddresses;
 
   std::mutex Guard;
   std::deque<QueuedMessage> Queue;
--- a/tests/drivers/test_peer_transport.cpp
+++ b/tests/drivers/test_peer_transport.cpp
@@ -108,3 +108,27 @@
   CHECK(eventually([&] { return received >= before + 10; }));
   transport.stop();
 }
+
+// An invalid address on the list of nodes discarded the messages queued behind
+// it, and ended the process when it was still queued at the stop.
+TEST(PeerTransport, InvalidAddressAffectsNoOtherMessage) {
+  std::atomic<int> received = 0;
+  TransportSettings settings;
+  settings.Address = "127.0.0.1";
+  PeerTransport receiver(settings, [&](std::string_view) { ++received; });
+  CHECK(static_cast<bool>(receiver.start()));
+  PeerTransport sender(settings, [](std::string_view) {});
+  CHECK(static_cast<bool>(sender.start()));
+  // Fewer than ZeroMQ queues for a peer that it isn't connected to yet.
+  constexpr int Messages = 40;
+  for (int n = 0; n < Messages; ++n) {
+    for (const char *invalid :
+         {"127.0.0.1:99999", "127.0.0.1", "", "127.0.0.1:x"})
+      sender.send(invalid, "lost");
+    sender.send(receiver.address(), "kept");
+  }
+  CHECK(eventually([&] { return received == Messages; }));
+  for (int n = 0; n < Messages; ++n)
+    sender.send("127.0.0.1:99999", "lost");
+  sender.stop();
+}
