--- a/tests/lab/store_server.cpp
+++ b/tests/lab/store_server.cpp
@@ -31,10 +31,10 @@
   return target.substr(from, target.find('&', from) - from);
 }
 
-std::string formatResponse(int status, const std::string &body) {
+std::string formatResponse(int status, uint64_t era, const std::string &body) {
   return fmt::format("HTTP/1.1 {} X\r\nContent-Type: application/json\r\n"
-                     "Content-Length: {}\r\n\r\n{}",
-                     status, body.size(), body);
+                     "Store-Era: {}\r\nContent-Length: {}\r\n\r\n{}",
+                     status, era, body.size(), body);
 }
 
 } // namespace
@@ -101,6 +101,22 @@
   Changed.notify_all();
 }
 
+void StoreServer::save() {
+  const std::lock_guard lock(Guard);
+  SavedTables = Tables;
+  SavedVersion = Version;
+}
+
+void StoreServer::restore() {
+  const std::lock_guard lock(Guard);
+  Tables = SavedTables;
+  Version = SavedVersion;
+  History.clear();
+  OldestVersion = Version;
+  ++Era;
+  Changed.notify_all();
+}
+
 void StoreServer::applyChange(Change change) {
   const std::lock_guard lock(Guard);
   change.Version = ++Version;
@@ -119,7 +135,7 @@
   case StoreFault::None:
     break;
   case StoreFault::Refuse:
-    connection.write(formatResponse(StatusUnavailable, "{}"));
+    connection.write(formatResponse(StatusUnavailable, Era, "{}"));
     return true;
   case StoreFault::Silence:
     for (auto n = SilenceDuration / SilencePollInterval; n > 0 && !Stopping;
@@ -150,7 +166,7 @@
     body = R"({"schema_version":1,"now_ms":1})";
   }
   if (Fault == StoreFault::None)
-    connection.write(formatResponse(status, body));
+    connection.write(formatResponse(status, Era, body));
   return Fault == StoreFault::None;
 }
 
@@ -193,10 +209,13 @@
     }
     return rows;
   };
+  const auto isUnknownVersion = [&] {
+    return sinceVersion < OldestVersion || sinceVersion > Version;
+  };
   Changed.wait_for(lock, std::chrono::milliseconds(waitMs), [&] {
-    return Stopping || sinceVersion < OldestVersion || !changedRows().empty();
+    return Stopping || isUnknownVersion() || !changedRows().empty();
   });
-  if (sinceVersion < OldestVersion) {
+  if (isUnknownVersion()) {
     status = StatusHistoryGone;
     return "{}";
   }
--- a/tests/lab/store_server.h
+++ b/tests/lab/store_server.h
@@ -38,6 +38,11 @@
   /// Discards the change history, so that watches from earlier versions fail
   /// with status 410.
   void compact();
+  /// Copies the present rows and version.
+  void save();
+  /// Comes back from that copy: what was written since is lost, and its
+  /// versions are given out again.
+  void restore();
   void setFault(StoreFault fault) { Fault = fault; }
   /// Delays the answers to reads of \p table by \p time.
   void delayReads(const std::string &table, std::chrono::milliseconds time);
@@ -72,10 +77,16 @@
   /// Held from the check of a transaction's conditions to its last write.
   std::mutex TransactionGuard;
   std::condition_variable Changed;
+  using TableMap = std::map<std::string, std::map<std::string, Change>>;
+
   uint64_t Version = 1;
+  /// Number of the restores so far, sent with each answer.
+  std::atomic<uint64_t> Era = 0;
+  TableMap SavedTables;
+  uint64_t SavedVersion = 1;
   /// The oldest version that can be watched from.
   uint64_t OldestVersion = 0;
-  std::map<std::string, std::map<std::string, Change>> Tables;
+  TableMap Tables;
   std::vector<Change> History;
   /// By table.
   std::map<std::string, std::chrono::milliseconds> ReadDelays;
--- a/tests/platform/test_relay.cpp
+++ b/tests/platform/test_relay.cpp
@@ -962,6 +962,39 @@
   CHECK(wrong.attempts() <= 1);
 }
 
+// The store may lose what it acknowledged when it comes back from a copy, and
+// give out the same versions again.
+TEST(Relay, FollowsAStoreThatCameBackFromACopy) {
+  for (const int changesAfter : {0, 60}) {
+    RelayFixture node;
+    node.configure(1);
+    StandInBackend old(scripts::answer("old"));
+    StandInBackend next(scripts::answer("next"));
+    node.listBackend("i-1", "plain", old.address());
+    CHECK(node.start(1));
+    node.Store.save();
+    for (int n = 0; n < 40; ++n)
+      node.Store.put("other", "row", std::to_string(n));
+    node.listBackend("i-1", "plain", old.address());
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    node.Store.setFault(lab::StoreFault::Reset);
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    node.Store.restore();
+    for (int n = 0; n < changesAfter; ++n)
+      node.Store.put("other", "row", std::to_string(n));
+    node.listBackend("i-2", "plain", next.address());
+    node.listBackend("i-1", "plain", old.address(), "draining");
+    node.Store.setFault(lab::StoreFault::None);
+    const auto isFollowed = [&] {
+      const int before = next.attempts();
+      for (int n = 0; n < 5; ++n)
+        node.call("GET", "/read/x");
+      return next.attempts() == before + 5;
+    };
+    CHECK_TEXT(within(3'000, isFollowed), std::to_string(changesAfter).c_str());
+  }
+}
+
 TEST(Relay, ServesCallsDuringStoreOutage) {
   for (const lab::StoreFault fault :
        {lab::StoreFault::Refuse, lab::StoreFault::Silence,
