Read the request limit from answers and log it with the call

The call line now has the limit that each attempt's answer stated, and orioletally_request_limits_total counts such answers, readable or not. No decision uses the limit yet.

Tests: AnswerHeaders.ReadsRequestLimit.

--- a/core/relay/call_head.h
+++ b/core/relay/call_head.h
@@ -87,6 +87,11 @@
   /// How long this node should send nothing to the backend server. Only
   /// meaningful in answers that refuse the call.
   std::optional<absl::Duration> PauseFor;
+  /// Whether the backend server states a limit on its requests.
+  bool HasRequestLimit = false;
+  /// The limit in requests a second, from all nodes together, 0 or more; empty
+  /// if there is none or if the stated value isn't such a number.
+  std::optional<double> RequestsPerSecond;
 };
 
 /// Encodes and decodes the headers of calls, attempts and answers.
--- a/drivers/metrics/relay_metrics.cpp
+++ b/drivers/metrics/relay_metrics.cpp
@@ -75,6 +75,11 @@
                        .Register(Registry)),
       QuarantinedParts(gauge(Registry, "orioletally_quarantined_parts",
                              "Parts of prompts in quarantine.")),
+      RequestLimits(BuildCounter()
+                        .Name("orioletally_request_limits_total")
+                        .Help("Answers that stated a limit on the requests of "
+                              "their backend server, by readability.")
+                        .Register(Registry)),
       InProgress(gauge(Registry, "orioletally_calls_in_progress",
                        "Calls in progress.")),
       ConfigVersion(gauge(Registry, "orioletally_config_version",
@@ -131,6 +136,10 @@
   QuarantinedParts.Set(static_cast<double>(n));
 }
 
+void RelayMetrics::requestLimitStated(bool isReadable) {
+  RequestLimits.Add({{"readable", isReadable ? "yes" : "no"}}).Increment();
+}
+
 void RelayMetrics::storeCall(std::string_view topic, bool isAnswered) {
   StoreCalls
       .Add({{"topic", std::string(topic)},
--- a/drivers/metrics/relay_metrics.h
+++ b/drivers/metrics/relay_metrics.h
@@ -34,6 +34,8 @@
   /// ("own") or reported by another ("peer").
   void crashReported(std::string_view source);
   void setQuarantinedParts(int64_t n);
+  /// An answer stated a limit on the backend server's requests.
+  void requestLimitStated(bool isReadable);
   void storeCall(std::string_view topic, bool isAnswered);
   void setInProgress(int64_t n);
   void setConfigVersion(uint64_t version);
@@ -58,6 +60,7 @@
   prometheus::Family<prometheus::Counter> &StoreCalls;
   prometheus::Family<prometheus::Counter> &CrashReports;
   prometheus::Gauge &QuarantinedParts;
+  prometheus::Family<prometheus::Counter> &RequestLimits;
   prometheus::Gauge &InProgress;
   prometheus::Gauge &ConfigVersion;
   prometheus::Gauge &Backends;
--- a/drivers/relay/call_runner.cpp
+++ b/drivers/relay/call_runner.cpp
@@ -287,6 +287,7 @@
   Current = &dispatch;
   IsStalled = false;
   LastStreamEnd.reset();
+  LastRequestLimit.reset();
   IsPromptSound = false;
   Context.Dispatcher.sent(dispatch, startedAt);
   LastByteAt = startedAt;
@@ -321,7 +322,7 @@
   Context.Metrics.attemptEnded(core::relay::attemptEndName(end));
   Attempts.push_back({dispatch.Server->Entry.Id, end, now - startedAt,
                       dispatch.PredictedFirstToken, dispatch.Helpers.size(),
-                      LastStreamEnd});
+                      LastStreamEnd, LastRequestLimit});
   co_return end;
 }
 
@@ -440,6 +441,9 @@
                                   int status, Dispatch &dispatch) {
   if (head.Leaving)
     markLeaving(*dispatch.Server, "header of its answer");
+  if (head.HasRequestLimit)
+    Context.Metrics.requestLimitStated(head.RequestsPerSecond.has_value());
+  LastRequestLimit = head.RequestsPerSecond;
   if (status != StatusUnavailable || !head.PauseFor.has_value())
     return;
   Context.Dispatcher.pauseRequested(dispatch, *head.PauseFor,
@@ -806,6 +810,8 @@
                      {"ms", absl::ToInt64Milliseconds(it.Took)},
                      {"predicted_ms", absl::ToInt64Milliseconds(it.Predicted)},
                      {"helpers", it.Helpers}});
+    if (it.RequestLimit.has_value())
+      tries.back()["request_limit"] = *it.RequestLimit;
     if (!it.Stream.has_value())
       continue;
     tries.back()["framing"] = core::relay::bodyFramingName(it.Stream->Framing);
--- a/drivers/relay/call_runner.h
+++ b/drivers/relay/call_runner.h
@@ -50,6 +50,8 @@
     size_t Helpers;
     /// Empty unless a stream began.
     std::optional<StreamEnd> Stream;
+    /// The limit in requests a second that the answer stated, if any.
+    std::optional<double> RequestLimit;
   };
 
   /// Finds the route and the workspace and sets the deadline. Returns false if
@@ -150,6 +152,8 @@
   std::optional<core::relay::AttemptEnd> Aborted;
   /// The end of the attempt's stream; empty unless one began.
   std::optional<StreamEnd> LastStreamEnd;
+  /// The limit in requests a second that the attempt's answer stated, if any.
+  std::optional<double> LastRequestLimit;
   /// Whether the attempt in progress was abandoned because no bytes came for
   /// too long.
   bool IsStalled = false;
--- a/tests/platform/test_codecs.cpp
+++ b/tests/platform/test_codecs.cpp
@@ -289,3 +289,18 @@
        {"", "-1", "nan", "3s", "inf3", "Wed, 21 Oct 2026 07:28:00 GMT"})
     CHECK_FALSE(decode("Retry-After", text).PauseFor.has_value());
 }
+
+TEST(AnswerHeaders, ReadsRequestLimit) {
+  CHECK_FALSE(decode("Server-Leaving", "1").HasRequestLimit);
+  for (const auto &[text, expected] :
+       {std::pair("2.2", 2.2), {"0", 0}, {" 40 ", 40}}) {
+    const core::relay::AnswerHead head = decode("server-limit", text);
+    CHECK(head.HasRequestLimit);
+    DOUBLES_EQUAL(expected, head.RequestsPerSecond.value_or(-1), 1e-9);
+  }
+  for (const char *text : {"", "-1", "nan", "inf", "1e999", "2,2", "3/s"}) {
+    const core::relay::AnswerHead head = decode("Server-Limit", text);
+    CHECK(head.HasRequestLimit);
+    CHECK_FALSE(head.RequestsPerSecond.has_value());
+  }
+}
