Keep the request limits of backend servers on all nodes together

Cause: nothing read the limit. Class of fault: a statement that binds all nodes was known, at most, to the node that received it. Ruled out: a limit kept by each node for itself, and one learned too late; the calls of each node were the same before and after the statement.

The newest statement counts; an answer without a limit lifts it if its call was sent after the statement. Statements go to the cell within 3 ms, with each heartbeat and to nodes that join, and to all nodes where all cells use the backend server; such cells have equal shares of the limit, four cells at most. Calls that no backend server may be sent are refused at once and told when one accepts again. Limited engines don't prefill for others.

--- a/core/engines/engine_placement.cpp
+++ b/core/engines/engine_placement.cpp
@@ -188,7 +188,7 @@
       return {};
     const int64_t part = tokensPerPart(helpers);
     for (size_t n = 0; n < Engines.size(); ++n) {
-      if (Engines[n].SlowdownRatio > MaxHelperSlowdown)
+      if (!Engines[n].CanHelp || Engines[n].SlowdownRatio > MaxHelperSlowdown)
         continue;
       const double used =
           absl::FDivDuration(predictHelper(n, part), Demand.Objective);
--- a/core/engines/engine_placement.h
+++ b/core/engines/engine_placement.h
@@ -25,6 +25,8 @@
   /// Additional cost, expressed as time, for recent failures and for another
   /// availability zone.
   absl::Duration Penalty = absl::ZeroDuration();
+  /// Whether it may prefill parts of prompts for other engines.
+  bool CanHelp = true;
 };
 
 /// The prompt to place.
--- a/core/fleet/backend_directory.cpp
+++ b/core/fleet/backend_directory.cpp
@@ -15,6 +15,10 @@
 /// outage; the rest allows for the change to reach this node.
 constexpr absl::Duration RelistTimeout = absl::Milliseconds(2300);
 
+/// How long nodes repeat that a limit was lifted, because any message may be
+/// lost.
+constexpr absl::Duration LiftedLimitMemory = absl::Seconds(10);
+
 constexpr std::array<std::string_view, 6> ChangeNames = {
     "none", "added", "changed", "restarted", "leaving", "gone"};
 
@@ -158,6 +162,29 @@
   return true;
 }
 
+std::shared_ptr<BackendServer>
+BackendDirectory::applyLimit(const BackendLimit &limit, absl::Time now) {
+  const std::shared_ptr<BackendServer> server = find(limit.Backend);
+  if (server == nullptr || server->Entry.StartedAtMs != limit.StartedAtMs)
+    return nullptr;
+  return server->Limit.apply(limit.Statement, now) ? server : nullptr;
+}
+
+BackendLimit BackendDirectory::limitOf(const BackendServer &server) {
+  return {server.Entry.Id, server.Entry.StartedAtMs, server.Limit.statement()};
+}
+
+std::vector<BackendLimit> BackendDirectory::limits(absl::Time now) const {
+  std::vector<BackendLimit> result;
+  for (const auto &[id, server] : Servers) {
+    const RequestLimit &limit = server->Limit;
+    if (limit.isActive() ||
+        now - limit.statement().StatedAt < LiftedLimitMemory)
+      result.push_back(limitOf(*server));
+  }
+  return result;
+}
+
 std::vector<std::shared_ptr<BackendServer>>
 BackendDirectory::usable(std::string_view service, absl::Time now) const {
   std::vector<std::shared_ptr<BackendServer>> result;
@@ -228,11 +255,15 @@
     if (!it->Entry.Leaving)
       places.push_back({it->Entry.Id, it->Entry.Zone});
   const std::vector<bool> isInCell = Plan.assignedToCell(places);
+  const bool isPartitioned = Plan.isPartitioned(places.size());
   const auto inCellCount = std::count(isInCell.begin(), isInCell.end(), true);
   size_t place = 0;
   size_t position = 0;
   for (const std::shared_ptr<BackendServer> &it : servers) {
     it->InCell = !it->Entry.Leaving && isInCell[place++];
+    it->IsSharedByCells = !isPartitioned && Plan.cellCount() > 1;
+    it->Limit.setShare(isPartitioned ? (it->InCell ? 1 : 0)
+                                     : Plan.limitShare(it->Entry.Id));
     if (it->InCell)
       it->OrderPosition =
           static_cast<double>(position++) / static_cast<double>(inCellCount);
--- a/core/fleet/backend_directory.h
+++ b/core/fleet/backend_directory.h
@@ -5,6 +5,7 @@
 #include "core/fleet/backend_entry.h"
 #include "core/fleet/backend_health.h"
 #include "core/fleet/cell_plan.h"
+#include "core/fleet/request_limit.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/time/time.h>
@@ -30,6 +31,9 @@
   double OrderPosition = 0;
   /// Whether it is assigned to this node's cell.
   bool InCell = true;
+  /// Whether all cells of the fleet use it.
+  bool IsSharedByCells = false;
+  RequestLimit Limit;
   /// When this or another node last received anything from it.
   absl::Time LastReceivedAt = absl::InfinitePast();
   /// Set when a peer or the backend server itself reported that it is leaving,
@@ -98,6 +102,18 @@
   /// unknown.
   bool markLeaving(std::string_view id);
 
+  /// Applies what another node read in an answer. Returns the backend server if
+  /// that changed its limit, null otherwise.
+  std::shared_ptr<BackendServer> applyLimit(const BackendLimit &limit,
+                                            absl::Time now);
+
+  /// Returns what \p server stated, to be sent to the other nodes.
+  static BackendLimit limitOf(const BackendServer &server);
+
+  /// Returns the limits in force and those lifted recently, to be sent to the
+  /// other nodes.
+  std::vector<BackendLimit> limits(absl::Time now) const;
+
   /// Returns the backend servers of \p service that accept new work: those of
   /// this node's cell, or those of the whole fleet if the cell has none.
   std::vector<std::shared_ptr<BackendServer>> usable(std::string_view service,
--- a/core/fleet/cell_plan.cpp
+++ b/core/fleet/cell_plan.cpp
@@ -76,8 +76,7 @@
 
 std::vector<bool>
 CellPlan::assignedToCell(const std::vector<BackendPlace> &backends) const {
-  if (Cells.size() < 2 || Members.empty() ||
-      backends.size() < MinCellBackends * Cells.size())
+  if (!isPartitioned(backends.size()))
     return std::vector<bool>(backends.size(), true);
   std::vector<size_t> left = quotas(backends.size());
   std::vector<size_t> order(backends.size());
@@ -119,4 +118,19 @@
   return result;
 }
 
+double CellPlan::limitShare(std::string_view backend) const {
+  if (Cells.size() < 2)
+    return 1;
+  const auto hash = [&](const Cell &it) {
+    return nameHash(it.Name + std::string(backend));
+  };
+  const uint64_t own = hash(Cells[SelfCell]);
+  const auto higher =
+      std::count_if(Cells.begin(), Cells.end(),
+                    [&](const Cell &it) { return hash(it) > own; });
+  return static_cast<size_t>(higher) < MaxLimitCells
+             ? 1.0 / static_cast<double>(std::min(Cells.size(), MaxLimitCells))
+             : 0;
+}
+
 } // namespace orioletally::core::fleet
--- a/core/fleet/cell_plan.h
+++ b/core/fleet/cell_plan.h
@@ -46,6 +46,9 @@
   /// A service with fewer backend servers per cell than this isn't partitioned:
   /// every cell uses all of them.
   static constexpr size_t MinCellBackends = 4;
+  /// At most this many cells share the request limit of a backend server that
+  /// all cells use, because each may begin with a whole request.
+  static constexpr size_t MaxLimitCells = 4;
 
   CellPlan() = default;
 
@@ -69,6 +72,17 @@
   std::vector<bool>
   assignedToCell(const std::vector<BackendPlace> &backends) const;
 
+  /// Whether \p backends backend servers of one service are divided among the
+  /// cells; otherwise every cell uses all of them.
+  bool isPartitioned(size_t backends) const {
+    return Cells.size() >= 2 && !Members.empty() &&
+           backends >= MinCellBackends * Cells.size();
+  }
+
+  /// Returns which share of the request limit of \p backend, which all cells
+  /// use, this node's cell has: the same for MaxLimitCells cells, 0 for others.
+  double limitShare(std::string_view backend) const;
+
 private:
   struct Cell {
     /// "region/number", the same on all nodes.
--- a/core/relay/dispatcher.cpp
+++ b/core/relay/dispatcher.cpp
@@ -50,6 +50,9 @@
 /// Retry delay when it is unknown when a backend server becomes available.
 constexpr absl::Duration DefaultRetryAfter = absl::Milliseconds(300);
 constexpr absl::Duration MinRetryAfter = absl::Milliseconds(50);
+/// Maximum random addition to the retry delay while backend servers are at
+/// their request limits.
+constexpr absl::Duration LimitedRetrySpread = absl::Milliseconds(500);
 constexpr absl::Duration MaxRetryAfter = absl::Seconds(3);
 /// Limit on the answer length that a caller may announce.
 constexpr int64_t MaxAnswerTokens = 1 << 20;
@@ -80,13 +83,21 @@
       .build();
 }
 
-RequestError allPausedError(const std::string &service,
-                            absl::Duration retryAfter) {
+/// When \p server may be sent a call, regardless of its health.
+absl::Time unblockedAt(const BackendServer &server) {
+  return std::max(server.Health.pausedUntil(), server.Limit.nextSendAt());
+}
+
+RequestError allBlockedError(const std::string &service, bool isLimited,
+                             absl::Duration retryAfter) {
   return errors::RequestErrorBuilder(
              ErrorCode::Overloaded,
-             fmt::format("all backend servers of service {} asked for a pause",
-                         service))
-      .rule("pause asked for by backend servers")
+             fmt::format("all backend servers of service {} {}", service,
+                         isLimited ? "asked for a pause or have reached their "
+                                     "request limits"
+                                   : "asked for a pause"))
+      .rule(isLimited ? "request limits of backend servers"
+                      : "pause asked for by backend servers")
       .retryAfterMs(absl::ToInt64Milliseconds(
           absl::Ceil(retryAfter, absl::Milliseconds(1))))
       .build();
@@ -180,7 +191,7 @@
            demand.Tried.end();
   });
   std::erase_if(untried, [&](const std::shared_ptr<BackendServer> &it) {
-    return it->Health.isPaused(now);
+    return now < unblockedAt(*it);
   });
   std::vector<std::shared_ptr<BackendServer>> result;
   for (const std::shared_ptr<BackendServer> &it : untried)
@@ -198,29 +209,35 @@
   return result;
 }
 
-absl::Time Dispatcher::pauseEnd(const std::string &service,
+absl::Time Dispatcher::blockEnd(const std::string &service,
                                 absl::Time now) const {
   absl::Time first = absl::InfiniteFuture();
   for (const std::shared_ptr<BackendServer> &it :
-       Directory.usable(service, now)) {
-    if (!it->Health.isPaused(now))
-      return now;
-    first = std::min(first, it->Health.pausedUntil());
-  }
-  return first == absl::InfiniteFuture() ? now : first;
+       Directory.usable(service, now))
+    first = std::min(first, unblockedAt(*it));
+  return first == absl::InfiniteFuture() ? now : std::max(first, now);
 }
 
 absl::Duration Dispatcher::retryDelay(const std::string &service,
                                       absl::Duration minDelay,
                                       absl::Time now) const {
-  return std::max(minDelay, pauseEnd(service, now) - now);
+  return std::max(minDelay, blockEnd(service, now) - now);
 }
 
 RequestError Dispatcher::noCandidateError(const std::string &service,
-                                          absl::Time now) const {
-  const absl::Time end = pauseEnd(service, now);
-  return end > now ? allPausedError(service, end - now)
-                   : noBackendError(service, DefaultRetryAfter);
+                                          absl::Time now) {
+  const absl::Time end = blockEnd(service, now);
+  if (end <= now)
+    return noBackendError(service, DefaultRetryAfter);
+  const auto servers = Directory.usable(service, now);
+  const bool isLimited =
+      std::any_of(servers.begin(), servers.end(),
+                  [&](const auto &it) { return now < it->Limit.nextSendAt(); });
+  // Callers that all come back at the same moment would exceed the limits.
+  const absl::Duration spread =
+      isLimited ? absl::Uniform(Random, 0.0, 1.0) * LimitedRetrySpread
+                : absl::ZeroDuration();
+  return allBlockedError(service, isLimited, end - now + spread);
 }
 
 absl::Duration Dispatcher::penalty(const BackendServer &server) const {
@@ -242,7 +259,8 @@
   for (const std::shared_ptr<BackendServer> &it : available) {
     it->Load.advance(now, speed);
     engineCandidates.push_back({&it->Load, it->OrderPosition,
-                                it->Health.slowdownRatio(), penalty(*it)});
+                                it->Health.slowdownRatio(), penalty(*it),
+                                !it->Limit.isActive()});
   }
   engines::PromptDemand prompt;
   prompt.PromptTokens = demand.PromptTokens;
@@ -325,8 +343,12 @@
   dispatch.SentAt = now;
   ++dispatch.Server->InFlight;
   dispatch.Server->Health.recordSend(now);
-  if (dispatch.Speed == nullptr)
+  dispatch.Server->Limit.recordSend(now);
+  if (dispatch.Speed == nullptr) {
+    if (dispatch.Server->Limit.isActive())
+      sendLoadUpdate(dispatch, *dispatch.Server, LoadUpdateKind::Sent, {});
     return;
+  }
   engines::RunningPrompt prompt;
   prompt.Id = dispatch.LoadId;
   prompt.PrefillTokens =
@@ -363,6 +385,18 @@
   }
 }
 
+bool Dispatcher::limitStated(const Dispatch &dispatch,
+                             std::optional<double> perSecond, absl::Time now) {
+  fleet::RequestLimit &limit = dispatch.Server->Limit;
+  // An answer without a limit lifts it only if its call was sent after the
+  // limit was stated; answers to earlier calls may still be on their way.
+  const bool isLifted = !perSecond.has_value() && limit.isActive() &&
+                        dispatch.SentAt > limit.statement().StatedAt;
+  if (!perSecond.has_value() && !isLifted)
+    return false;
+  return limit.apply({perSecond, now}, now);
+}
+
 void Dispatcher::ended(Dispatch &dispatch, AttemptEnd end, absl::Time now) {
   --dispatch.Server->InFlight;
   const std::optional<fleet::HealthSignal> signal = healthSignal(end);
@@ -388,7 +422,12 @@
 void Dispatcher::applyLoadUpdate(const LoadUpdate &update, absl::Time now) {
   const std::shared_ptr<BackendServer> server =
       Directory.findByHash(update.EngineHash);
-  if (server == nullptr || Config == nullptr)
+  if (server == nullptr)
+    return;
+  // Limited engines don't help others, so it was a request of its own.
+  if (update.Kind == LoadUpdateKind::Sent)
+    server->Limit.recordSend(now);
+  if (Config == nullptr)
     return;
   const routes::Service *service = Config->service(server->Entry.Service);
   if (service == nullptr || !service->Engine.has_value())
--- a/core/relay/dispatcher.h
+++ b/core/relay/dispatcher.h
@@ -136,9 +136,15 @@
     dispatch.Server->Health.pause(time, now);
   }
 
+  /// Applies what the answer to \p dispatch states about the backend server's
+  /// request limit: \p perSecond, or no limit. Returns whether the limit has
+  /// changed.
+  static bool limitStated(const Dispatch &dispatch,
+                          std::optional<double> perSecond, absl::Time now);
+
   /// Returns how long a caller whose call for \p service was refused should
-  /// wait before it retries: \p minDelay or, if all backend servers asked for a
-  /// pause, the time until the first pause ends, whichever is longer.
+  /// wait before it retries: \p minDelay or, if no backend server may be sent
+  /// anything, the time until the first one may, whichever is longer.
   absl::Duration retryDelay(const std::string &service, absl::Duration minDelay,
                             absl::Time now) const;
 
@@ -159,15 +165,16 @@
   choosePlain(const CallDemand &demand, const std::string &service,
               absl::Time now);
   /// Returns the untried backend servers that accept calls or, if there is
-  /// none, the one whose trial call is due first. None of them is paused.
+  /// none, the one whose trial call is due first. None of them is paused or at
+  /// its request limit.
   std::vector<std::shared_ptr<fleet::BackendServer>>
   candidates(const CallDemand &demand, const std::string &service,
              absl::Time now) const;
-  /// Returns the end of the first pause if all backend servers of \p service
-  /// have asked for one; \p now otherwise.
-  absl::Time pauseEnd(const std::string &service, absl::Time now) const;
+  /// Returns when the first backend server of \p service may be sent a call, if
+  /// all are paused or at their request limits; \p now otherwise.
+  absl::Time blockEnd(const std::string &service, absl::Time now) const;
   errors::RequestError noCandidateError(const std::string &service,
-                                        absl::Time now) const;
+                                        absl::Time now);
   const std::string &pickService(const CallDemand &demand, absl::Time now);
   limits::WindowBudget &budget(const std::string &service);
   void sendLoadUpdate(const Dispatch &dispatch,
--- a/drivers/relay/call_runner.cpp
+++ b/drivers/relay/call_runner.cpp
@@ -7,6 +7,7 @@
 #include "drivers/loop/endpoint.h"
 #include "drivers/loop/message_framing.h"
 #include "drivers/relay/message_parts.h"
+#include "drivers/relay/request_limit_log.h"
 
 #include <algorithm>
 #include <array>
@@ -454,6 +455,26 @@
               {"pause_ms", absl::ToInt64Milliseconds(*head.PauseFor)}});
 }
 
+void CallRunner::applyRequestLimit(const core::relay::AnswerHead &head,
+                                   const Dispatch &dispatch) {
+  if (head.HasRequestLimit && !head.RequestsPerSecond.has_value()) {
+    log::write(
+        log::Level::Warn, "request_limit_unreadable",
+        {{"id", Head.AttemptId}, {"backend", dispatch.Server->Entry.Id}});
+    return;
+  }
+  // Only an answer with the call's id is certainly the backend server's.
+  if (!head.HasRequestLimit && head.AttemptId.empty())
+    return;
+  const absl::Time now = clock::steadyNow();
+  if (!core::relay::Dispatcher::limitStated(dispatch, head.RequestsPerSecond,
+                                            now))
+    return;
+  logRequestLimit(*dispatch.Server, "own", now);
+  if (Context.AnnounceLimit)
+    Context.AnnounceLimit(*dispatch.Server);
+}
+
 asio::awaitable<AttemptEnd> CallRunner::readAnswer(Dispatch &dispatch) {
   for (int interim = 0; interim < MaxInterimAnswers;) {
     AnswerParser parser;
@@ -483,6 +504,7 @@
     applyServerState(head, status, dispatch);
     if (status == 421)
       co_return AttemptEnd::WrongBackend;
+    applyRequestLimit(head, dispatch);
     if (head.NotExecuted) {
       if (!head.FaultyBackend.empty() &&
           head.FaultyBackend != dispatch.Server->Entry.Id)
--- a/drivers/relay/call_runner.h
+++ b/drivers/relay/call_runner.h
@@ -81,6 +81,10 @@
   /// that it is leaving, or for how long to send it no calls.
   void applyServerState(const core::relay::AnswerHead &head, int status,
                         core::relay::Dispatch &dispatch);
+  /// Applies what an answer's head says about the backend server's request
+  /// limit; all its answers state it.
+  void applyRequestLimit(const core::relay::AnswerHead &head,
+                         const core::relay::Dispatch &dispatch);
   void markLeaving(const core::fleet::BackendServer &server,
                    std::string_view reason);
   asio::awaitable<core::relay::AttemptEnd>
--- a/drivers/relay/fleet_view.cpp
+++ b/drivers/relay/fleet_view.cpp
@@ -2,6 +2,7 @@
 
 #include "drivers/clock/clock.h"
 #include "drivers/log/log.h"
+#include "drivers/relay/request_limit_log.h"
 
 #include <algorithm>
 #include <utility>
@@ -187,4 +188,12 @@
                  {{"backend", id}});
 }
 
+void FleetView::applyPeerLimits(
+    const std::vector<core::fleet::BackendLimit> &limits) {
+  const absl::Time now = clock::steadyNow();
+  for (const core::fleet::BackendLimit &it : limits)
+    if (const auto server = Context.Dispatcher.directory().applyLimit(it, now))
+      logRequestLimit(*server, "peer", now);
+}
+
 } // namespace orioletally::drivers::relay
--- a/drivers/relay/fleet_view.h
+++ b/drivers/relay/fleet_view.h
@@ -87,6 +87,9 @@
   /// Marks the backend servers \p ids, which a peer announced, as leaving.
   void applyPeerLeaving(const std::vector<std::string> &ids);
 
+  /// Applies the request limits that another node knows of.
+  void applyPeerLimits(const std::vector<core::fleet::BackendLimit> &limits);
+
 private:
   /// Opens the start gate once there is a configuration and a backend list.
   void openStartGateIfReady();
--- a/drivers/relay/node_update.cpp
+++ b/drivers/relay/node_update.cpp
@@ -3,12 +3,14 @@
 #include "proto/generated/relay.pb.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace orioletally::drivers::relay {
 
 namespace {
 
 using core::fleet::BackendChange;
+using core::fleet::BackendLimit;
 using core::relay::CrashReport;
 using core::relay::LoadUpdate;
 using core::relay::LoadUpdateKind;
@@ -121,6 +123,29 @@
                   : now - absl::Milliseconds(std::min(age - 1, MaxSpanMs));
 }
 
+void encode(const BackendLimit &limit, absl::Time now,
+            proto::LimitNews &message) {
+  message.set_backend(limit.Backend);
+  message.set_born_ms(limit.StartedAtMs);
+  message.set_lifted(!limit.Statement.PerSecond.has_value());
+  message.set_per_second(limit.Statement.PerSecond.value_or(0));
+  message.set_stated_ago(encodeAge(limit.Statement.StatedAt, now));
+}
+
+BackendLimit decode(const proto::LimitNews &message, absl::Time now) {
+  BackendLimit limit;
+  limit.Backend = message.backend();
+  limit.StartedAtMs = message.born_ms();
+  if (!message.lifted())
+    limit.Statement.PerSecond = message.per_second();
+  limit.Statement.StatedAt = decodeAge(message.stated_ago(), now);
+  return limit;
+}
+
+bool isValid(const proto::LimitNews &message) {
+  return std::isfinite(message.per_second()) && message.per_second() >= 0;
+}
+
 } // namespace
 
 std::string encodeNodeUpdate(const NodeUpdate &update, absl::Time now) {
@@ -148,6 +173,8 @@
   for (const QuarantinedPart &it : update.Quarantined)
     encode(it, *message.add_quarantined());
   message.set_fleet_wide(update.IsFleetWide);
+  for (const BackendLimit &it : update.Limits)
+    encode(it, now, *message.add_limits());
   return message.SerializeAsString();
 }
 
@@ -180,6 +207,9 @@
   for (const proto::QuarantineNews &it : message.quarantined())
     update.Quarantined.push_back(decode(it));
   update.IsFleetWide = message.fleet_wide();
+  for (const proto::LimitNews &it : message.limits())
+    if (isValid(it))
+      update.Limits.push_back(decode(it, now));
   return update;
 }
 
--- a/drivers/relay/node_update.h
+++ b/drivers/relay/node_update.h
@@ -2,6 +2,7 @@
 #define ORIOLETALLY_DRIVERS_RELAY_NODE_UPDATE_H
 
 #include "core/fleet/backend_entry.h"
+#include "core/fleet/request_limit.h"
 #include "core/relay/load_update.h"
 #include "core/relay/prompt_quarantine.h"
 
@@ -43,8 +44,9 @@
   /// Ids of prompt parts that the sender knows to be sound.
   std::vector<std::string> SoundParts;
   std::vector<core::relay::QuarantinedPart> Quarantined;
+  std::vector<core::fleet::BackendLimit> Limits;
   /// Whether nodes of all cells receive the message; those of other cells use
-  /// nothing but Quarantined.
+  /// nothing but Quarantined and Limits.
   bool IsFleetWide = false;
 };
 
--- a/drivers/relay/peer_link.cpp
+++ b/drivers/relay/peer_link.cpp
@@ -125,6 +125,22 @@
   flush();
   NodeUpdate update = makeNodeUpdate();
   update.Quarantined = Handlers.QuarantinedParts();
+  sendToOtherCells(std::move(update));
+}
+
+void PeerLink::announceLimits() {
+  AreLimitsPending = true;
+  flushWithin(SentFlushDelay);
+}
+
+void PeerLink::announceSharedLimit(const core::fleet::BackendLimit &limit) {
+  announceLimits();
+  NodeUpdate update = makeNodeUpdate();
+  update.Limits = {limit};
+  sendToOtherCells(std::move(update));
+}
+
+void PeerLink::sendToOtherCells(NodeUpdate update) {
   update.IsFleetWide = true;
   const std::string bytes = encodeNodeUpdate(update, clock::steadyNow());
   for (const std::string &it : OtherCellAddresses)
@@ -174,8 +190,10 @@
   });
   Roster.update(cellNodes, now);
   WatchPolicy.setCell(names);
-  if (hasNew)
-    announceLeaving();
+  if (!hasNew)
+    return;
+  announceLeaving();
+  announceLimits();
 }
 
 void PeerLink::flushWithin(absl::Duration time) {
@@ -203,6 +221,8 @@
   PendingSoundParts.clear();
   if (std::exchange(IsQuarantinePending, false))
     update.Quarantined = Handlers.QuarantinedParts();
+  if (std::exchange(AreLimitsPending, false))
+    update.Limits = Handlers.RequestLimits();
   sendToCell(update);
 }
 
@@ -234,6 +254,7 @@
       co_return;
     // Repeated with each heartbeat, because any message may be lost.
     IsQuarantinePending = true;
+    AreLimitsPending = true;
     flush();
   }
 }
@@ -248,6 +269,8 @@
     return;
   if (!update->Quarantined.empty())
     Handlers.OnPeerQuarantine(update->Quarantined);
+  if (!update->Limits.empty())
+    Handlers.OnPeerLimits(update->Limits);
   if (update->IsFleetWide && known == Peers.end())
     return;
   updatePeer(*update, now);
--- a/drivers/relay/peer_link.h
+++ b/drivers/relay/peer_link.h
@@ -50,12 +50,17 @@
       OnPeerQuarantine;
   /// All prompt parts in quarantine.
   std::function<std::vector<core::relay::QuarantinedPart>()> QuarantinedParts;
+  std::function<void(const std::vector<core::fleet::BackendLimit> &)>
+      OnPeerLimits;
+  /// The request limits of backend servers, with those lifted recently.
+  std::function<std::vector<core::fleet::BackendLimit>()> RequestLimits;
 };
 
 /// Exchanges updates with the other nodes of the cell: prompts sent to engines,
-/// changes of the backend servers, leaving backend servers, crashes under
-/// prompts and the version of the configuration. Updates that affect placement
-/// are sent within a few milliseconds. Any message may be lost.
+/// changes of the backend servers, leaving backend servers, their request
+/// limits, crashes under prompts and the version of the configuration. Updates
+/// that affect placement are sent within a few milliseconds. Any message may be
+/// lost.
 class PeerLink {
 public:
   PeerLink(asio::io_context &loop, core::platform::NodeEntry self,
@@ -87,6 +92,13 @@
   void announceCrash(const core::relay::CrashReport &report);
   void announceSoundParts(const std::vector<std::string> &parts);
 
+  /// Queues the request limits of backend servers to be sent to the cell.
+  void announceLimits();
+
+  /// Immediately sends \p limit to all registered nodes, because all cells use
+  /// the backend server.
+  void announceSharedLimit(const core::fleet::BackendLimit &limit);
+
   /// Immediately sends the quarantined prompt parts to all registered nodes,
   /// because the cells don't learn of each other's crashes.
   void announceQuarantine();
@@ -132,6 +144,7 @@
   /// with the configuration if the sender asked for it.
   void catchUp(const NodeUpdate &update, absl::Time now);
   void sendToCell(const NodeUpdate &update);
+  void sendToOtherCells(NodeUpdate update);
   /// Returns an update with this node's identity and versions only.
   NodeUpdate makeNodeUpdate() const;
   void send(const std::string &address, std::string bytes);
@@ -159,6 +172,7 @@
   absl::Time FlushAt = absl::InfiniteFuture();
   bool IsLeavingPending = false;
   bool IsQuarantinePending = false;
+  bool AreLimitsPending = false;
   bool Stopping = false;
 };
 
--- a/drivers/relay/relay_context.h
+++ b/drivers/relay/relay_context.h
@@ -47,6 +47,10 @@
   AnswerLimits Limits;
   /// Announces leaving backend servers to the other nodes; may be null.
   std::function<void()> AnnounceLeaving = nullptr;
+  /// Announces the changed request limit of a backend server to the other
+  /// nodes; may be null.
+  std::function<void(const core::fleet::BackendServer &)> AnnounceLimit =
+      nullptr;
 
   /// Whether a call that arrives at \p now might be interrupted when the
   /// process exits.
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -152,7 +152,10 @@
                                       absl::InfiniteFuture(),
                                       0,
                                       answerLimits(values),
-                                      [this] { Peers.announceLeaving(); }},
+                                      [this] { Peers.announceLeaving(); },
+                                      [this](const auto &server) {
+                                        announceLimit(server);
+                                      }},
         View(Context), Self(selfEntry(values, incarnation)),
         Source(Loop, storeSettings(values, Self)),
         Peers(Loop, Self, peerHandlers()), Server(Context),
@@ -292,6 +295,13 @@
           Guard.applyQuarantine(parts);
         };
     handlers.QuarantinedParts = [this] { return Guard.quarantined(); };
+    handlers.OnPeerLimits =
+        [this](const std::vector<core::fleet::BackendLimit> &limits) {
+          View.applyPeerLimits(limits);
+        };
+    handlers.RequestLimits = [this] {
+      return Calls.directory().limits(drivers::clock::steadyNow());
+    };
     return handlers;
   }
 
@@ -310,6 +320,13 @@
     return handlers;
   }
 
+  void announceLimit(const core::fleet::BackendServer &server) {
+    if (server.IsSharedByCells)
+      Peers.announceSharedLimit(core::fleet::BackendDirectory::limitOf(server));
+    else
+      Peers.announceLimits();
+  }
+
   void showReadiness(drivers::http::HttpResponse &response) const {
     const bool isReady = Calls.isInitialized() && !Context.isDraining();
     response.Status = isReady ? StatusOk : StatusUnavailable;
--- a/tests/platform/test_request_limit.cpp
+++ b/tests/platform/test_request_limit.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <csignal>
+#include <cstdlib>
 #include <fmt/format.h>
 #include <memory>
 #include <thread>
@@ -136,3 +138,111 @@
   CHECK_COMPARE(limited.mostInWindow(start), <=, allowedRequests(1.5));
   LONGS_EQUAL(0, refused);
 }
+
+// A node that starts later sends a request or two before it hears of the limit.
+TEST(RequestLimit, BindsANodeThatStartsLater) {
+  LimitedBackend limited("1");
+  StandInBackend other(scripts::answer("other"));
+  addNodes(2);
+  list("i-1", limited.address());
+  list("i-2", other.address());
+  const std::unique_ptr<RelayFixture> late = std::move(nodes.back());
+  nodes.pop_back();
+  start(2);
+  callAll(milliseconds(500));
+  CHECK(late->start(2));
+  CHECK(late->Process.waitEvent("request_limit", std::chrono::seconds(5))
+            .has_value());
+  const Clock::time_point start = Clock::now();
+  const Clock::time_point end = start + Window;
+  while (Clock::now() < end)
+    LONGS_EQUAL(200, late->call("GET", "/read/x").Status);
+  CHECK_COMPARE(limited.mostInWindow(start), <=, allowedRequests(1));
+}
+
+TEST(RequestLimit, IsKeptAgainAfterARestartOfAllNodes) {
+  LimitedBackend limited("1");
+  StandInBackend other(scripts::answer("other"));
+  addNodes(2);
+  list("i-1", limited.address());
+  list("i-2", other.address());
+  start(2);
+  callAll(milliseconds(300));
+  for (const auto &it : nodes) {
+    it->Process.signal(SIGKILL);
+    it->Process.waitExit(std::chrono::seconds(5));
+  }
+  start(2);
+  callAll(milliseconds(500));
+  const Clock::time_point start = Clock::now();
+  const int refused = callAll(milliseconds(4'500), 503);
+  CHECK_COMPARE(limited.mostInWindow(start), <=, allowedRequests(1));
+  LONGS_EQUAL(0, refused);
+}
+
+TEST(RequestLimit, EndsOnAllNodesWhenItIsLifted) {
+  LimitedBackend limited("2");
+  StandInBackend other(scripts::answer("other"));
+  addNodes(2);
+  list("i-1", limited.address());
+  list("i-2", other.address());
+  start(2);
+  callAll(milliseconds(500));
+  limited.setLimit("");
+  // Within a second, one of the nodes may send a request and learns of it.
+  callAll(milliseconds(1'500));
+  for (const auto &it : nodes)
+    CHECK(it->Process.waitEvent("request_limit_lifted", milliseconds(100))
+              .has_value());
+  const Clock::time_point start = Clock::now();
+  callAll(milliseconds(1'500));
+  CHECK_COMPARE(limited.countSince(start), >, 20);
+}
+
+TEST(RequestLimit, OddValuesAreIgnored) {
+  for (const char *value : {"-1", "nan", "many", "inf", "1e999"}) {
+    RelayFixture node;
+    node.configure(1);
+    LimitedBackend limited(value);
+    node.listBackend("i-1", "plain", limited.address());
+    CHECK(node.start(1));
+    for (int n = 0; n < 20; ++n)
+      LONGS_EQUAL(200, node.call("GET", "/read/x").Status);
+    CHECK(node.Process.waitEvent("request_limit_unreadable", milliseconds(500))
+              .has_value());
+  }
+}
+
+TEST(RequestLimit, OfZeroStopsCallsUntilItIsLifted) {
+  LimitedBackend limited("0");
+  list("i-1", limited.address());
+  start(1);
+  LONGS_EQUAL(200, nodes.front()->call("GET", "/read/x").Status);
+  const CallerAnswer refused = nodes.front()->call("GET", "/read/x");
+  LONGS_EQUAL(503, refused.Status);
+  CHECK_COMPARE(std::atof(refused.header("retry-after").c_str()), >, 1);
+}
+
+// The calls that the limits don't allow are refused at once, those that they
+// allow are made.
+TEST(RequestLimit, AllowedRateIsUsedWhenAllBackendServersAreLimited) {
+  LimitedBackend first("2");
+  LimitedBackend second("3");
+  addNodes(2);
+  list("i-1", first.address());
+  list("i-2", second.address());
+  start(2);
+  callAll(milliseconds(500));
+  const Clock::time_point start = Clock::now();
+  const int served = callAll(Window);
+  CHECK_COMPARE(served, >=, 4 * (2 + 3) - 3);
+  CHECK_COMPARE(first.mostInWindow(start), <=, allowedRequests(2));
+  CHECK_COMPARE(second.mostInWindow(start), <=, allowedRequests(3));
+  const Clock::time_point sentAt = Clock::now();
+  CallerAnswer refused;
+  do
+    refused = nodes.front()->call("GET", "/read/x");
+  while (refused.Status != 503 && Clock::now() - sentAt < Window);
+  LONGS_EQUAL(503, refused.Status);
+  CHECK_COMPARE(std::atof(refused.header("retry-after").c_str()), >, 0);
+}
