Refuse calls that crash the backend servers that run them

Cause: a node knew of its own attempts only. Ruled out: a part of the prompt (one prompt only), retries or load (crashes don't follow them).

Fix: the call's key (core/relay/call_key) counts in PromptQuarantine like a part of the prompt that no other call has. Three crashes at two backend servers convict it; one answer clears it of earlier crashes. Plain services count as well. One crash of a quarantined call still counts for its prompt's parts. Reports go to the cell and to two home nodes of the fleet, which add up what all cells see; decisions go to all nodes and to the store. When there is no room for another suspect, the one with the fewest crashes goes.

--- a/core/errors/request_error.cpp
+++ b/core/errors/request_error.cpp
@@ -13,7 +13,7 @@
   int Status;
 };
 
-constexpr std::array<CodeRow, 19> CodeTable = {{
+constexpr std::array<CodeRow, 20> CodeTable = {{
     {ErrorCode::BadRequest, "bad_request", 400},
     {ErrorCode::Unauthorized, "unauthorized", 401},
     {ErrorCode::Forbidden, "forbidden", 403},
@@ -31,6 +31,7 @@
     {ErrorCode::DeadlineExceeded, "deadline_exceeded", 504},
     {ErrorCode::PlatformUnavailable, "platform_unavailable", 503},
     {ErrorCode::PromptQuarantined, "prompt_quarantined", 503},
+    {ErrorCode::CallQuarantined, "call_quarantined", 503},
     {ErrorCode::CallerGone, "caller_gone", 499},
     {ErrorCode::Internal, "internal", 500},
 }};
--- a/core/errors/request_error.h
+++ b/core/errors/request_error.h
@@ -30,6 +30,7 @@
   DeadlineExceeded,
   PlatformUnavailable,
   PromptQuarantined,
+  CallQuarantined,
   CallerGone,
   Internal,
 };
--- a/core/relay/prompt_quarantine.cpp
+++ b/core/relay/prompt_quarantine.cpp
@@ -39,30 +39,35 @@
 
 } // namespace
 
-std::optional<CrashReport>
+PromptQuarantine::EndFindings
 PromptQuarantine::recordEnd(const PromptAttempt &attempt,
                             const std::vector<std::string> &parts,
                             absl::Time now) {
+  EndFindings findings;
   std::vector<std::string> shared = sharedParts(parts);
   if (shared.empty() || !isTracked(parts.back()))
-    return std::nullopt;
+    return findings;
   const bool isBeginning = !attempt.FirstEventAt.has_value() ||
                            now - *attempt.FirstEventAt < Settings.BeginTime;
   // A crash can end an answer whose end isn't marked.
   const bool isWhole = attempt.End == AttemptEnd::Answered &&
                        attempt.FirstEventAt.has_value() &&
                        (attempt.IsEndMarked || !isBeginning);
-  if (isWhole)
+  if (isWhole) {
+    for (const std::string &it : shared)
+      if (isCallKey(it) && Suspects.contains(it))
+        findings.Sound.push_back(it);
     markSound(shared, now);
+  }
   if (attempt.End != AttemptEnd::Broken || !isBeginning)
-    return std::nullopt;
+    return findings;
   std::erase_if(shared,
                 [&](const std::string &it) { return isSound(it, now); });
   if (shared.empty())
-    return std::nullopt;
-  CrashReport report{attempt.Backend, parts.back(), std::move(shared)};
-  addEvidence(report, Settings.ObjectionTime, now);
-  return report;
+    return findings;
+  findings.Report = {attempt.Backend, parts.back(), std::move(shared)};
+  addEvidence(*findings.Report, Settings.ObjectionTime, now);
+  return findings;
 }
 
 std::vector<std::string>
@@ -94,7 +99,7 @@
                                    absl::Duration objectionTime,
                                    absl::Time now) {
   removeOld(now);
-  const Crash crash{report.Backend, report.Prompt, now};
+  const Crash crash{report.Backend, report.Prompt, now, false};
   const bool isUnderQuarantine =
       std::any_of(report.Parts.begin(), report.Parts.end(),
                   [&](const auto &it) { return isQuarantined(it, now); });
@@ -103,9 +108,10 @@
   if (isUnderQuarantine || isExplained(crash))
     return;
   for (const std::string &it : report.Parts) {
-    if (Suspects.size() >= MaxSuspects && !Suspects.contains(it))
-      continue;
+    if (!Suspects.contains(it))
+      makeRoomForSuspect();
     Suspect &suspect = Suspects[it];
+    suspect.IsCall = isCallKey(it);
     if (suspect.Crashes.size() < MaxCrashesPerSuspect)
       suspect.Crashes.push_back(crash);
     if (hasEnoughEvidence(suspect))
@@ -113,6 +119,20 @@
   }
 }
 
+void PromptQuarantine::makeRoomForSuspect() {
+  if (Suspects.size() < MaxSuspects)
+    return;
+  // The one with the fewest crashes, and of those the oldest.
+  const auto rank = [](const auto &it) {
+    return std::pair(it.second.Crashes.size(), it.second.Crashes.back().At);
+  };
+  const auto least = std::min_element(Suspects.begin(), Suspects.end(),
+                                      [&](const auto &left, const auto &right) {
+                                        return rank(left) < rank(right);
+                                      });
+  Suspects.erase(least);
+}
+
 bool PromptQuarantine::isExplained(const Crash &crash) const {
   return std::any_of(
       ExplainedCrashes.begin(), ExplainedCrashes.end(), [&](const Crash &it) {
@@ -123,17 +143,23 @@
 
 bool PromptQuarantine::hasEnoughEvidence(const Suspect &suspect) const {
   return countCrashes(suspect) >= Settings.MinCrashes &&
-         countPrompts(suspect) >= Settings.MinPrompts &&
+         (suspect.IsCall || countPrompts(suspect) >= Settings.MinPrompts) &&
          countBackends(suspect) >= Settings.MinBackends;
 }
 
 size_t PromptQuarantine::countCrashes(const Suspect &suspect) const {
   size_t count = 0;
-  absl::Time last = absl::InfinitePast();
+  const Crash *last = nullptr;
   for (const Crash &it : suspect.Crashes) {
-    if (it.At - last < Settings.CrashSpacing)
+    // A call is at one backend server after the other, so that crashes of
+    // different ones don't have another cause in common.
+    const bool isOther =
+        suspect.IsCall && last != nullptr && it.Backend != last->Backend;
+    if (last != nullptr && !isOther &&
+        it.At - last->At <
+            (suspect.IsCall ? Settings.CrashJitter : Settings.CrashSpacing))
       continue;
-    last = it.At;
+    last = &it;
     ++count;
   }
   return count;
@@ -230,19 +256,33 @@
   if (found == Suspects.end())
     return;
   const std::vector<Crash> crashes = std::move(found->second.Crashes);
+  const std::string callPrompt =
+      found->second.IsCall ? crashes.back().Prompt : std::string();
   Suspects.erase(found);
   ExplainedCrashes.insert(ExplainedCrashes.end(), crashes.begin(),
                           crashes.end());
   absl::erase_if(Suspects, [&](auto &it) {
     Suspect &suspect = it.second;
-    std::erase_if(suspect.Crashes,
-                  [&](const Crash &crash) { return isExplained(crash); });
+    removeExplained(suspect, callPrompt);
     if (!hasEnoughEvidence(suspect))
       suspect.DecideAt = absl::InfiniteFuture();
     return suspect.Crashes.empty();
   });
 }
 
+void PromptQuarantine::removeExplained(Suspect &suspect,
+                                       const std::string &prompt) const {
+  if (!suspect.IsCall && !prompt.empty()) {
+    const auto first =
+        std::find_if(suspect.Crashes.begin(), suspect.Crashes.end(),
+                     [&](const Crash &it) { return it.Prompt == prompt; });
+    if (first != suspect.Crashes.end())
+      first->IsKept = true;
+  }
+  std::erase_if(suspect.Crashes,
+                [&](const Crash &it) { return !it.IsKept && isExplained(it); });
+}
+
 absl::Time PromptQuarantine::nextDecisionAt() const {
   absl::Time next = absl::InfiniteFuture();
   for (const auto &[part, suspect] : Suspects)
@@ -290,11 +330,13 @@
 void PromptQuarantine::markSound(const std::vector<std::string> &parts,
                                  absl::Time now) {
   for (const std::string &it : parts) {
+    Suspects.erase(it);
+    QuarantinedUntil.erase(it);
+    if (isCallKey(it))
+      continue;
     if (SoundParts.size() >= MaxSoundParts && !SoundParts.contains(it))
       OlderSoundParts = std::exchange(SoundParts, {});
     SoundParts[it] = now;
-    Suspects.erase(it);
-    QuarantinedUntil.erase(it);
   }
 }
 
--- a/core/relay/prompt_quarantine.h
+++ b/core/relay/prompt_quarantine.h
@@ -2,6 +2,7 @@
 #define ORIOLETALLY_CORE_RELAY_PROMPT_QUARANTINE_H
 
 #include "core/relay/attempt_policy.h"
+#include "core/relay/call_key.h"
 #include "core/relay/quarantined_part.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -62,8 +63,10 @@
   absl::Duration SoundMemory = absl::Minutes(10);
 };
 
-/// Finds the parts of prompts that crash every backend server that begins to
-/// answer them, and quarantines them.
+/// Finds the parts of prompts, and the calls, that crash every backend server
+/// that begins to answer them, and quarantines them. A call counts as a part
+/// (callKey()) that no other call has. crashSuspects() gives the parts in the
+/// order in which they are expected here.
 ///
 /// A crash interrupts a dozen calls on several nodes, and the prompt that
 /// caused it shares its other parts with sound ones. So a part is only
@@ -71,17 +74,25 @@
 /// cleared by a single answer that was written without a crash, on whichever
 /// node. Of the parts that remain after several crashes under different
 /// prompts, the cause is the one that occurs at all of these crashes and in the
-/// fewest prompts; it explains what the others are suspected of.
+/// fewest prompts; it explains what the others are suspected of. A call needs
+/// no second prompt, but a single answer clears it of earlier crashes only: the
+/// same call may begin to crash backend servers later.
 class PromptQuarantine {
 public:
   explicit PromptQuarantine(const QuarantineSettings &settings = {})
       : Settings(settings) {}
 
-  /// Records how an attempt at a prompt with \p parts ended. Returns the report
-  /// to send to the other nodes if the prompt may have caused a crash.
-  std::optional<CrashReport> recordEnd(const PromptAttempt &attempt,
-                                       const std::vector<std::string> &parts,
-                                       absl::Time now);
+  /// What recordEnd() found out, to be sent to the other nodes.
+  struct EndFindings {
+    /// Set if the call or its prompt may have caused a crash.
+    std::optional<CrashReport> Report;
+    /// Key of a suspected call that was answered; empty for none.
+    std::vector<std::string> Sound;
+  };
+
+  /// Records how an attempt at a prompt with \p parts ended.
+  EndFindings recordEnd(const PromptAttempt &attempt,
+                        const std::vector<std::string> &parts, absl::Time now);
 
   /// Records that events of an answer to a prompt with \p parts have been
   /// arriving since \p firstEventAt. Returns whether the prompt's parts are
@@ -130,9 +141,13 @@
     std::string Backend;
     std::string Prompt;
     absl::Time At;
+    /// Whether it counts although a quarantined call caused it.
+    bool IsKept = false;
   };
 
   struct Suspect {
+    /// Whether it is a call and not a part of prompts.
+    bool IsCall = false;
     /// The crashes under the part in the order in which they were reported.
     std::vector<Crash> Crashes;
     /// When the part is to be quarantined; infinite future without enough
@@ -147,6 +162,11 @@
   size_t countCrashes(const Suspect &suspect) const;
   static size_t countPrompts(const Suspect &suspect);
   static size_t countBackends(const Suspect &suspect);
+  void makeRoomForSuspect();
+  /// Removes the crashes that quarantined parts explain from \p suspect, but
+  /// one of those under the quarantined call of \p prompt, if there is one:
+  /// calls that each crash backend servers may have the cause in common.
+  void removeExplained(Suspect &suspect, const std::string &prompt) const;
   /// Returns the part to quarantine next; empty if there is none.
   std::string chooseCause(absl::Time now) const;
   /// Quarantines \p part and drops what other parts are suspected of because
--- a/drivers/relay/call_runner.cpp
+++ b/drivers/relay/call_runner.cpp
@@ -166,6 +166,13 @@
   Events =
       core::relay::EventStream(Head.ResumeAfter, Context.Limits.MaxEventBytes);
   describeDemand();
+  CrashSuspects = core::relay::crashSuspects(
+      core::relay::callKey({Request.method_string(), host,
+                            view(Request.target()), Head.Key,
+                            Request.body().empty() && !Head.PromptParts.empty()
+                                ? Head.PromptParts.back()
+                                : Request.body()}),
+      Head.PromptParts);
   if (const auto error = quarantineError()) {
     answerWithError(*error);
     return false;
@@ -174,14 +181,18 @@
 }
 
 std::optional<RequestError> CallRunner::quarantineError() const {
-  const auto found = Context.Guard.findQuarantined(Head.PromptParts);
+  const auto found = Context.Guard.findQuarantined(CrashSuspects);
   if (!found.has_value())
     return std::nullopt;
+  const bool isCall = core::relay::isCallKey(found->Part);
   return core::errors::RequestErrorBuilder(
-             ErrorCode::PromptQuarantined,
-             fmt::format("part {} of the prompt crashes backend servers",
-                         found->Part))
-      .rule(fmt::format("quarantine of prompt part {}", found->Part))
+             isCall ? ErrorCode::CallQuarantined : ErrorCode::PromptQuarantined,
+             isCall ? std::string("the call crashes backend servers")
+                    : fmt::format("part {} of the prompt crashes backend "
+                                  "servers",
+                                  found->Part))
+      .rule(fmt::format("quarantine of {} {}", isCall ? "call" : "prompt part",
+                        found->Part))
       .retryAfterMs(absl::ToInt64Milliseconds(
           absl::Ceil(found->TimeLeft, absl::Milliseconds(1))))
       .build();
@@ -310,14 +321,8 @@
   }
   Demand.Tried.push_back(dispatch.Server->Entry.Id);
   Context.Dispatcher.ended(dispatch, end, now);
-  if (dispatch.Speed != nullptr)
-    Context.Guard.recordEnd(Head.AttemptId,
-                            {dispatch.Server->Entry.Id, end,
-                             dispatch.FirstTokenAt,
-                             LastStreamEnd.has_value() &&
-                                 LastStreamEnd->Framing !=
-                                     core::relay::BodyFraming::ConnectionClose},
-                            Head.PromptParts);
+  Context.Guard.recordEnd(Head.AttemptId, promptAttempt(dispatch, end, now),
+                          CrashSuspects);
   if (end == AttemptEnd::WrongBackend)
     markLeaving(*dispatch.Server, "another backend server has the address");
   Context.Metrics.attemptEnded(core::relay::attemptEndName(end));
@@ -327,6 +332,24 @@
   co_return end;
 }
 
+core::relay::PromptAttempt CallRunner::promptAttempt(const Dispatch &dispatch,
+                                                     AttemptEnd end,
+                                                     absl::Time now) const {
+  core::relay::PromptAttempt result;
+  result.Backend = dispatch.Server->Entry.Id;
+  result.End = end;
+  result.FirstEventAt = dispatch.FirstTokenAt;
+  result.IsEndMarked =
+      LastStreamEnd.has_value() &&
+      LastStreamEnd->Framing != core::relay::BodyFraming::ConnectionClose;
+  // An answer that isn't a stream is read as a whole.
+  if (end == AttemptEnd::Answered && !LastStreamEnd.has_value()) {
+    result.FirstEventAt = now;
+    result.IsEndMarked = true;
+  }
+  return result;
+}
+
 std::string CallRunner::reservationName(const Dispatch &dispatch, size_t n) {
   return fmt::format("{:x}-{}", dispatch.LoadId, n);
 }
@@ -617,8 +640,8 @@
         LongestGap = std::max(LongestGap, now - LastByteAt);
       Context.Dispatcher.firstToken(dispatch, now);
       if (!IsPromptSound && dispatch.FirstTokenAt.has_value())
-        IsPromptSound = Context.Guard.recordProgress(Head.PromptParts,
-                                                     *dispatch.FirstTokenAt);
+        IsPromptSound =
+            Context.Guard.recordProgress(CrashSuspects, *dispatch.FirstTokenAt);
       LastByteAt = now;
       Context.Dispatcher.answerBytesReceived(dispatch, now);
       setSilenceTimeout(core::relay::eventGapTimeout(*Route));
--- a/drivers/relay/call_runner.h
+++ b/drivers/relay/call_runner.h
@@ -58,8 +58,8 @@
   /// the call is answered with an error instead.
   bool admit();
   void answerWithError(const core::errors::RequestError &error);
-  /// Returns the error of a call whose prompt has a quarantined part; empty for
-  /// any other call.
+  /// Returns the error of a call that is quarantined or whose prompt has a
+  /// quarantined part; empty for any other call.
   std::optional<core::errors::RequestError> quarantineError() const;
   /// Makes attempts until the call has an answer or fails.
   asio::awaitable<void> attempts();
@@ -70,6 +70,11 @@
   /// Reserves memory at the helpers; returns false if any reservation failed or
   /// the call was aborted.
   asio::awaitable<bool> reserveMemory(const core::relay::Dispatch &dispatch);
+  /// Returns what the end of an attempt tells about the call as the cause of a
+  /// crash.
+  core::relay::PromptAttempt
+  promptAttempt(const core::relay::Dispatch &dispatch,
+                core::relay::AttemptEnd end, absl::Time now) const;
   static std::string reservationName(const core::relay::Dispatch &dispatch,
                                      size_t n);
   /// Sets Channel to a connection to \p address, reused or new; returns false
@@ -133,6 +138,8 @@
   std::string Workspace;
   core::relay::CallHead Head;
   core::relay::CallDemand Demand;
+  /// The call and the parts of its prompt, as PromptQuarantine expects them.
+  std::vector<std::string> CrashSuspects;
   core::relay::CallProgress Progress;
   core::relay::EventStream Events;
 
--- a/drivers/relay/node_update.h
+++ b/drivers/relay/node_update.h
@@ -45,8 +45,8 @@
   std::vector<std::string> SoundParts;
   std::vector<core::relay::QuarantinedPart> Quarantined;
   std::vector<core::fleet::BackendLimit> Limits;
-  /// Whether nodes of all cells receive the message; those of other cells use
-  /// nothing but Quarantined and Limits.
+  /// Whether nodes of other cells receive the message, which use nothing but
+  /// Crashes, SoundParts, Quarantined and Limits.
   bool IsFleetWide = false;
 };
 
--- a/drivers/relay/peer_link.cpp
+++ b/drivers/relay/peer_link.cpp
@@ -1,5 +1,7 @@
 #include "drivers/relay/peer_link.h"
 
+#include "core/fleet/home_nodes.h"
+#include "core/relay/call_key.h"
 #include "drivers/clock/clock.h"
 #include "drivers/log/log.h"
 
@@ -113,11 +115,36 @@
 void PeerLink::announceCrash(const core::relay::CrashReport &report) {
   PendingCrashes.push_back(report);
   flushWithin(SentFlushDelay);
+  const auto key = std::find_if(report.Parts.begin(), report.Parts.end(),
+                                core::relay::isCallKey);
+  if (key == report.Parts.end())
+    return;
+  NodeUpdate update = makeNodeUpdate();
+  update.Crashes = {{report.Backend, report.Prompt, {*key}}};
+  sendToHomeNodes(*key, std::move(update));
 }
 
 void PeerLink::announceSoundParts(const std::vector<std::string> &parts) {
   PendingSoundParts.insert(parts.begin(), parts.end());
   flushWithin(SoundFlushDelay);
+  for (const std::string &it : parts) {
+    if (!core::relay::isCallKey(it))
+      continue;
+    NodeUpdate update = makeNodeUpdate();
+    update.SoundParts = {it};
+    sendToHomeNodes(it, std::move(update));
+  }
+}
+
+void PeerLink::sendToHomeNodes(const std::string &key, NodeUpdate update) {
+  if (OtherCellAddresses.empty())
+    return;
+  update.IsFleetWide = true;
+  const std::string bytes = encodeNodeUpdate(update, clock::steadyNow());
+  for (const std::string &it : core::fleet::homeNodes(key, FleetAddresses))
+    if (std::find(OtherCellAddresses.begin(), OtherCellAddresses.end(), it) !=
+        OtherCellAddresses.end())
+      send(it, bytes);
 }
 
 void PeerLink::announceQuarantine() {
@@ -166,7 +193,9 @@
   std::vector<std::string> names;
   bool hasNew = false;
   OtherCellAddresses.clear();
+  FleetAddresses.clear();
   for (const NodeEntry &it : nodes) {
+    FleetAddresses.push_back(it.PeerAddress);
     const bool isInCell =
         cell.empty() || std::binary_search(cell.begin(), cell.end(), it.Name);
     if (!isInCell) {
@@ -271,6 +300,10 @@
     Handlers.OnPeerQuarantine(update->Quarantined);
   if (!update->Limits.empty())
     Handlers.OnPeerLimits(update->Limits);
+  for (const core::relay::CrashReport &it : update->Crashes)
+    Handlers.OnPeerCrash(it);
+  if (!update->SoundParts.empty())
+    Handlers.OnPeerSoundParts(update->SoundParts);
   if (update->IsFleetWide && known == Peers.end())
     return;
   updatePeer(*update, now);
@@ -286,10 +319,6 @@
                                   std::move(update->Backends));
   if (!update->Leaving.empty())
     Handlers.OnPeerLeavingBackends(update->Leaving);
-  for (const core::relay::CrashReport &it : update->Crashes)
-    Handlers.OnPeerCrash(it);
-  if (!update->SoundParts.empty())
-    Handlers.OnPeerSoundParts(update->SoundParts);
   if (!update->Config.empty())
     Handlers.OnPeerConfig(update->Config);
   catchUp(*update, now);
--- a/drivers/relay/peer_link.h
+++ b/drivers/relay/peer_link.h
@@ -88,7 +88,8 @@
       uint64_t since, const std::vector<core::fleet::BackendChange> &changes);
 
   /// Queues a report of a crash, or ids of sound prompt parts, to be sent to
-  /// the cell.
+  /// the cell. What concerns a call, which comes again at any node, is also
+  /// sent to the call's home nodes in other cells.
   void announceCrash(const core::relay::CrashReport &report);
   void announceSoundParts(const std::vector<std::string> &parts);
 
@@ -145,6 +146,7 @@
   void catchUp(const NodeUpdate &update, absl::Time now);
   void sendToCell(const NodeUpdate &update);
   void sendToOtherCells(NodeUpdate update);
+  void sendToHomeNodes(const std::string &key, NodeUpdate update);
   /// Returns an update with this node's identity and versions only.
   NodeUpdate makeNodeUpdate() const;
   void send(const std::string &address, std::string bytes);
@@ -164,6 +166,8 @@
   core::fleet::CatchUp BackendsCatchUp;
   /// Addresses of the registered nodes in other cells.
   std::vector<std::string> OtherCellAddresses;
+  /// Addresses of all registered nodes.
+  std::vector<std::string> FleetAddresses;
   std::vector<core::relay::LoadUpdate> PendingLoadUpdates;
   std::vector<core::relay::CrashReport> PendingCrashes;
   std::set<std::string> PendingSoundParts;
--- a/drivers/relay/prompt_guard.cpp
+++ b/drivers/relay/prompt_guard.cpp
@@ -14,8 +14,10 @@
 
 void PromptGuard::recordEnd(const std::string &id, const PromptAttempt &attempt,
                             const std::vector<std::string> &parts) {
-  const std::optional<CrashReport> report =
+  const PromptQuarantine::EndFindings findings =
       Quarantine.recordEnd(attempt, parts, clock::steadyNow());
+  announceSound(findings.Sound);
+  const std::optional<CrashReport> &report = findings.Report;
   if (!report.has_value())
     return;
   log::write(log::Level::Info, "crash_suspected",
--- a/tests/core/test_prompt_quarantine.cpp
+++ b/tests/core/test_prompt_quarantine.cpp
@@ -1,3 +1,4 @@
+#include "core/fleet/home_nodes.h"
 #include "core/relay/prompt_quarantine.h"
 #include "tests/support/request_fixture.h"
 
@@ -5,6 +6,7 @@
 #include <array>
 #include <fmt/format.h>
 #include <random>
+#include <set>
 
 // Last: it defines a macro called new.
 #include <CppUTest/TestHarness.h>
@@ -47,7 +49,10 @@
 
   void end(size_t node, const PromptAttempt &attempt, const Parts &parts,
            int ms) {
-    const auto report = Nodes[node].recordEnd(attempt, parts, at(ms));
+    const auto findings = Nodes[node].recordEnd(attempt, parts, at(ms));
+    for (PromptQuarantine &it : Nodes)
+      it.applySound(findings.Sound, at(ms + 5));
+    const auto &report = findings.Report;
     if (!report.has_value())
       return;
     Parts sound;
@@ -227,13 +232,13 @@
     const Parts parts = {"a", fmt::format("own-{}", n)};
     PromptAttempt late = broken(backendName(n));
     late.FirstEventAt = at(ms - 1'500);
-    CHECK_FALSE(node.recordEnd(late, parts, at(ms)).has_value());
+    CHECK_FALSE(node.recordEnd(late, parts, at(ms)).Report.has_value());
     for (const AttemptEnd end :
          {AttemptEnd::Refused, AttemptEnd::NotSent, AttemptEnd::Stalled,
           AttemptEnd::CallerGone, AttemptEnd::OutOfTime, AttemptEnd::Failed})
       CHECK_FALSE(node.recordEnd({backendName(n), end, std::nullopt, false},
                                  parts, at(ms))
-                      .has_value());
+                      .Report.has_value());
   }
   CHECK(node.decide(at(60'000)).empty());
 }
@@ -302,3 +307,144 @@
   for (const QuarantinedPart &it : node.quarantined(at(60'000)))
     CHECK(it.TimeLeft <= absl::Minutes(10));
 }
+
+namespace {
+
+/// The suspects of a call with the body \p body and the prompt \p parts.
+Parts suspectsOf(const std::string &body, const Parts &parts = {}) {
+  return crashSuspects(callKey({"POST", "a.example", "/ask/x", "key", body}),
+                       parts);
+}
+
+} // namespace
+
+TEST_GROUP(CallQuarantine){};
+
+TEST(CallQuarantine, KeyDependsOnPathCallerAndBody) {
+  const CallIdentity call = {"POST", "a.example", "/ask/x", "key", "body"};
+  CHECK(isCallKey(callKey(call)));
+  CHECK(callKey(call) == callKey(call));
+  CallIdentity other = call;
+  other.Target = "/ask/y";
+  CHECK(callKey(call) != callKey(other));
+  other = call;
+  other.ApiKey = "another";
+  CHECK(callKey(call) != callKey(other));
+  other = call;
+  other.Body = "bodies";
+  CHECK(callKey(call) != callKey(other));
+  // The same text, divided differently.
+  CHECK(callKey({"POST", "a", "b", "", ""}) !=
+        callKey({"POST", "ab", "", "", ""}));
+}
+
+// One call, sent to the next engine 50 ms after each crash, beside calls that
+// it interrupts.
+TEST(CallQuarantine, ThirdCrashUnderOneCallIsEnough) {
+  for (const Parts &parts : {Parts{}, Parts{"first", "own"}}) {
+    Fleet fleet(3);
+    const Parts deadly = suspectsOf("deadly", parts);
+    for (int n = 0; n < 3; ++n) {
+      const auto node = static_cast<size_t>(n);
+      fleet.end(node, broken(backendName(n)), deadly, 50 * n);
+      for (int victim = 0; victim < 10; ++victim)
+        fleet.end(node, broken(backendName(n)),
+                  suspectsOf(fmt::format("victim-{}-{}", n, victim)), 50 * n);
+    }
+    CHECK(fleet.decide(450) == Parts{deadly.front()});
+    for (size_t n = 0; n < 3; ++n) {
+      CHECK(isRefused(fleet.node(n), deadly, 500));
+      CHECK_FALSE(isRefused(fleet.node(n), suspectsOf("victim-0-0"), 500));
+      CHECK_FALSE(
+          isRefused(fleet.node(n), suspectsOf("next", {"first", "next"}), 500));
+    }
+  }
+}
+
+TEST(CallQuarantine, OneCrashingBackendServerConvictsNoCall) {
+  PromptQuarantine node;
+  for (int n = 0; n < 10; ++n)
+    node.recordEnd(broken("i-1"), suspectsOf("poll"), at(2'000 * n));
+  CHECK(node.decide(at(60'000)).empty());
+}
+
+TEST(CallQuarantine, AnswerClearsACallOfEarlierCrashesOnly) {
+  Fleet fleet(2);
+  const Parts call = suspectsOf("poll");
+  fleet.end(0, broken("i-1"), call, 0);
+  fleet.end(0, broken("i-2"), call, 100);
+  fleet.end(1, answered(at(200)), call, 200);
+  fleet.end(0, broken("i-3"), call, 300);
+  CHECK(fleet.decide(2'000).empty());
+  for (int n = 0; n < 3; ++n)
+    fleet.end(1, broken(backendName(n)), call, 3'000 + 100 * n);
+  CHECK(fleet.decide(4'000) == Parts{call.front()});
+}
+
+// Each call is quarantined before the part has crashed under enough calls.
+TEST(CallQuarantine, PartThatSeveralQuarantinedCallsShareIsFound) {
+  PromptQuarantine node;
+  Parts decided;
+  for (int call = 0; call < 3; ++call) {
+    const std::string own = fmt::format("own-{}", call);
+    for (int n = 0; n < 3; ++n)
+      node.recordEnd(broken(backendName(3 * call + n)),
+                     suspectsOf(own, {"bad", own}), at(2'000 * call + 50 * n));
+    for (const QuarantinedPart &it : node.decide(at(2'000 * call + 500)))
+      decided.push_back(it.Part);
+  }
+  CHECK(std::find(decided.begin(), decided.end(), "bad") != decided.end());
+  CHECK(isRefused(node, suspectsOf("next", {"bad", "next"}), 5'000));
+}
+
+TEST(CallQuarantine, TwoCallsThatShareAPartDoNotConvictIt) {
+  PromptQuarantine node;
+  for (int call = 0; call < 2; ++call) {
+    const std::string own = fmt::format("own-{}", call);
+    for (int n = 0; n < 4; ++n)
+      node.recordEnd(broken(backendName(n)), suspectsOf(own, {"first", own}),
+                     at(2'000 * call + 50 * n));
+    LONGS_EQUAL(1, node.decide(at(2'000 * call + 600)).size());
+  }
+  CHECK_FALSE(isRefused(node, suspectsOf("next", {"first", "next"}), 5'000));
+}
+
+// A power failure interrupts thousands of calls once or twice.
+TEST(CallQuarantine, ManyInterruptedCallsDoNotHideTheCause) {
+  PromptQuarantine node;
+  const Parts deadly = suspectsOf("deadly");
+  for (int n = 0; n < 3; ++n) {
+    for (int victim = 0; victim < 3'000; ++victim)
+      node.recordEnd(broken(backendName(victim % 20)),
+                     suspectsOf(fmt::format("victim-{}", victim)),
+                     at(3'000 * n));
+    node.recordEnd(broken(backendName(n)), deadly, at(3'000 * n + 100));
+    node.recordEnd(broken(backendName(n + 1)), deadly, at(3'000 * n + 200));
+  }
+  const Parts decided = namesOf(node.decide(at(7'000)));
+  CHECK(std::find(decided.begin(), decided.end(), deadly.front()) !=
+        decided.end());
+}
+
+TEST(CallQuarantine, HomeNodesAreTheSameForAllNodes) {
+  std::vector<std::string> addresses;
+  for (int n = 0; n < 195; ++n)
+    addresses.push_back(fmt::format("10.0.0.{}:1", n));
+  std::set<std::string> used;
+  for (int call = 0; call < 200; ++call) {
+    const std::string key =
+        callKey({"GET", "a", fmt::format("/{}", call), "", ""});
+    auto homes = orioletally::core::fleet::homeNodes(key, addresses);
+    LONGS_EQUAL(2, homes.size());
+    used.insert(homes.front());
+    std::vector<std::string> reversed(addresses.rbegin(), addresses.rend());
+    CHECK(homes == orioletally::core::fleet::homeNodes(key, reversed));
+    // A home node that fails leaves the other one.
+    std::erase(reversed, homes.front());
+    CHECK(homes.back() ==
+          orioletally::core::fleet::homeNodes(key, reversed).front());
+  }
+  CHECK(used.size() > 50);
+  LONGS_EQUAL(1, orioletally::core::fleet::homeNodes("k", {"a"}).size());
+  LONGS_EQUAL(0, orioletally::core::fleet::homeNodes("k", {}).size());
+}
