Test broken-off answer heads and late calls in a shutdown

A backend server that closes inside its answer's head: all 105 places where the head can end, at both services and four routes, end in 502, never in a success. A call that a caller begins before the node stops accepting calls and completes after that gets 503 and reaches no backend server; later calls were tested already (ShutdownRefusesCallsThatMightNotComplete).

--- a/tests/platform/test_relay.cpp
+++ b/tests/platform/test_relay.cpp
@@ -2,6 +2,7 @@
 #include "proto/generated/relay.pb.h"
 #include "tests/support/relay_fixture.h"
 
+#include <atomic>
 #include <csignal>
 #include <fmt/format.h>
 #include <thread>
@@ -345,6 +346,34 @@
   LONGS_EQUAL(5, n);
 }
 
+// A head without its last line must not pass for an answer, wherever it ends.
+TEST(Relay, AnswerHeadThatBreaksOffIsNoAnswer) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nX-Orioletally-Attempt-Id: a1\r\n"
+      "X-Orioletally-Response-Signature: s\r\nContent-Length: 0\r\n\r\n";
+  std::atomic<size_t> length = 0;
+  StandInBackend plain(
+      [&](const lab::RawRequest &, const lab::RawConnection &out) {
+        out.write(head.substr(0, length));
+        return false;
+      });
+  StandInBackend engine(
+      [&](const lab::RawRequest &, const lab::RawConnection &out) {
+        out.write(head.substr(0, length));
+        return false;
+      });
+  fixture.listBackend("i-1", "plain", plain.address());
+  fixture.listBackend("e-1", "engine", engine.address());
+  CHECK(fixture.start(2));
+  for (length = 0; length < head.size(); ++length) {
+    const std::string body = fmt::format("b{}", length.load());
+    // The only backend server may be in backoff after a loss.
+    for (const char *path : {"/write/x", "/read/x", "/once/x", "/ask/x"})
+      CHECK_EQUAL_TEXT(502, fixture.call("POST", path, "", body).Status,
+                       fmt::format("{} {}", path, length.load()).c_str());
+  }
+}
+
 TEST(Relay, BytesAfterAnAnswerAreDiscarded) {
   StandInBackend backend(scripts::bytes(
       "HTTP/1.1 200 OK\r\nX-Orioletally-Attempt-Id: {id}\r\n"
@@ -1076,6 +1105,30 @@
   LONGS_EQUAL(0, fixture.Process.waitExit(std::chrono::seconds(8)));
 }
 
+// The caller begins to send before the node stops accepting calls and ends
+// after that.
+TEST(Relay, CallThatIsCompleteLateInAShutdownReachesNoBackendServer) {
+  StandInBackend backend(scripts::answer("hello"));
+  StandInBackend engine(scripts::stream(1, 45, 100));
+  fixture.listBackend("i-1", "plain", backend.address());
+  fixture.listBackend("e-1", "engine", engine.address());
+  CHECK(fixture.start(2));
+  // Keeps the node from exiting early.
+  std::thread streaming([&] { fixture.call("POST", "/ask/x"); });
+  CHECK(within(2'000, [&] { return engine.attempts() == 1; }));
+  fixture.Process.signal(SIGTERM);
+  const auto caller = lab::connectTo(fixture.CallsAddress);
+  caller->write("POST /write/x HTTP/1.1\r\nHost: a.example\r\nAuthorization: "
+                "Token key-n\r\nX-Orioletally-Attempt-Id: late\r\n"
+                "Content-Length: 4\r\n\r\nbo");
+  std::this_thread::sleep_for(std::chrono::milliseconds(2'800));
+  caller->write("dy");
+  const std::string answer = caller->receiveAll(1'000);
+  CHECK_TEXT(answer.starts_with("HTTP/1.1 503"), answer.c_str());
+  LONGS_EQUAL(0, backend.attempts());
+  streaming.join();
+}
+
 TEST(Relay, NodeUnregistersOnShutdown) {
   StandInBackend backend(scripts::answer("hello"));
   fixture.listBackend("i-1", "plain", backend.address());
