Answer the calls that are in progress when the grace period ends

Cause: the event loop stopped with the calls' connections open. Fix: 150 ms before that, calls whose answer hasn't begun are given up and get 504, or 503 if they haven't run; bytes that are being written go on.

Before: CallsInProgressAtTheEndOfAShutdownGetAnAnswer got no status line. After: it passes, as does ShutdownWithCallsInProgressExitsWithoutCrash.

--- a/drivers/relay/call_runner.cpp
+++ b/drivers/relay/call_runner.cpp
@@ -742,6 +742,11 @@
     Caller.close(ignored);
 }
 
+void CallRunner::giveUp() {
+  if (!isWritingToCaller())
+    abort(AttemptEnd::OutOfTime);
+}
+
 bool CallRunner::isWritingToCaller() const {
   return Lifecycle.timeout() == CallTimeout::CallerWrite;
 }
--- a/drivers/relay/call_runner.h
+++ b/drivers/relay/call_runner.h
@@ -34,6 +34,10 @@
   /// write to the caller, the caller's.
   void abort(core::relay::AttemptEnd reason);
 
+  /// Ends the call because the process is about to exit. Bytes that are being
+  /// written to the caller are still written.
+  void giveUp();
+
 private:
   /// How the body of a streamed answer was framed, and whether its last event
   /// was incomplete.
--- a/drivers/relay/caller_session.cpp
+++ b/drivers/relay/caller_session.cpp
@@ -83,6 +83,7 @@
   Stream.expires_never();
   auto runner = std::make_shared<CallRunner>(
       Context, Stream.socket(), std::move(*request), clock::steadyNow());
+  Running = runner;
   watchCaller(runner);
   const bool isKeptOpen = co_await runner->run();
   if (!Stream.socket().is_open())
@@ -100,6 +101,11 @@
     Stream.close();
 }
 
+void CallerSession::abortCall() {
+  if (const auto runner = Running.lock())
+    runner->giveUp();
+}
+
 asio::awaitable<bool> CallerSession::awaitFirstByte(absl::Duration timeout) {
   Stream.expires_after(toChrono(timeout));
   Idle = true;
--- a/drivers/relay/caller_session.h
+++ b/drivers/relay/caller_session.h
@@ -20,6 +20,9 @@
   /// Closes the connection unless a call is in progress or has begun to arrive.
   void closeIfIdle();
 
+  /// Ends the call in progress, if there is one.
+  void abortCall();
+
 private:
   asio::awaitable<bool> serveOne();
   asio::awaitable<bool> awaitFirstByte(absl::Duration timeout);
@@ -31,6 +34,7 @@
   RelayContext &Context;
   beast::tcp_stream Stream;
   beast::flat_buffer Buffer;
+  std::weak_ptr<CallRunner> Running;
   /// Whether the connection waits for the next call.
   bool Idle = false;
 };
--- a/drivers/relay/relay_server.cpp
+++ b/drivers/relay/relay_server.cpp
@@ -30,6 +30,13 @@
     it->closeIfIdle();
 }
 
+void RelayServer::abortCalls() {
+  // A call that ends may remove its session from the list.
+  const std::list<std::shared_ptr<CallerSession>> sessions = Sessions;
+  for (const std::shared_ptr<CallerSession> &it : sessions)
+    it->abortCall();
+}
+
 void RelayServer::stopAccepting() {
   if (Listener != nullptr)
     Listener->close();
--- a/drivers/relay/relay_server.h
+++ b/drivers/relay/relay_server.h
@@ -26,6 +26,10 @@
   /// next one to another node.
   void closeIdle();
 
+  /// Ends the calls in progress, because the process is about to exit: those
+  /// whose answer hasn't begun get an error.
+  void abortCalls();
+
   /// Stops accepting connections; open ones stay.
   void stopAccepting();
 
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -32,6 +32,8 @@
 /// Draining ends this long before the expected SIGKILL, so that the process
 /// exits by itself.
 constexpr absl::Duration ExitMargin = absl::Milliseconds(300);
+/// Part of ExitMargin in which aborted calls write their errors.
+constexpr auto AbortTime = std::chrono::milliseconds(150);
 constexpr auto DrainPollInterval = std::chrono::milliseconds(50);
 constexpr auto MaintenanceInterval = std::chrono::seconds(1);
 constexpr auto WatchPolicyInterval = std::chrono::milliseconds(250);
@@ -399,6 +401,18 @@
                         {{"changed", changed}, {"need_restart", needRestart}});
   }
 
+  /// Ends the calls that are in progress when draining ends and gives them time
+  /// to write their errors.
+  asio::awaitable<void> endCalls(asio::steady_timer &timer) {
+    if (Context.InProgress == 0)
+      co_return;
+    drivers::log::write(drivers::log::Level::Warn, "calls_aborted",
+                        {{"in_progress", Context.InProgress}});
+    Server.abortCalls();
+    timer.expires_after(AbortTime);
+    co_await timer.async_wait(AsTuple);
+  }
+
   asio::awaitable<void> drainOnSignal() {
     co_await Signals.async_wait(AsTuple);
     const absl::Time since = drivers::clock::steadyNow();
@@ -424,6 +438,7 @@
     }
     IsCleanExit = Context.InProgress == 0;
     Server.stopAccepting();
+    co_await endCalls(timer);
     Guard.stop();
     Source.stop();
     Peers.stop();
--- a/tests/platform/test_relay.cpp
+++ b/tests/platform/test_relay.cpp
@@ -1129,6 +1129,23 @@
   streaming.join();
 }
 
+// Calls that were taken in time may still be in progress when the grace period
+// ends, and may not be repeated.
+TEST(Relay, CallsInProgressAtTheEndOfAShutdownGetAnAnswer) {
+  StandInBackend engine(scripts::silence());
+  fixture.listBackend("e-1", "engine", engine.address());
+  CHECK(fixture.start(1));
+  CallerAnswer answer;
+  std::thread caller([&] { answer = fixture.call("POST", "/once/x"); });
+  CHECK(within(2'000, [&] { return engine.attempts() == 1; }));
+  fixture.Process.signal(SIGTERM);
+  LONGS_EQUAL(1, fixture.Process.waitExit(std::chrono::seconds(9)));
+  caller.join();
+  // The call may have been executed.
+  LONGS_EQUAL(504, answer.Status);
+  CHECK(answer.Complete);
+}
+
 TEST(Relay, NodeUnregistersOnShutdown) {
   StandInBackend backend(scripts::answer("hello"));
   fixture.listBackend("i-1", "plain", backend.address());
