Follow a store that came back from a copy

KNOWN-RED: after the store came back from a copy some seconds old, a node ignored all changes of the backend servers until the versions, which the store gives out again, exceeded those it had applied. Cause: versions were compared without the era in which they were given out. Fix: platform/row_codec puts the era (Store-Era, in all answers of the store) above the version's bits when it reads rows and takes it off when it writes or asks for changes, so that later versions are higher everywhere, in messages between nodes too.

--- a/drivers/loop/http_client.cpp
+++ b/drivers/loop/http_client.cpp
@@ -3,6 +3,7 @@
 #include "drivers/loop/asio_use.h"
 #include "drivers/loop/endpoint.h"
 
+#include <boost/algorithm/string/predicate.hpp>
 #include <boost/beast/http.hpp>
 #include <utility>
 
@@ -13,8 +14,20 @@
 /// Larger answers fail the call; a page of the store's rows is at most 1 MB.
 constexpr uint64_t MaxAnswerBytes = 16 << 20;
 
+void copyHeaders(const bhttp::response_header<> &head, HttpCallResult &result) {
+  for (const auto &it : head)
+    result.Headers.emplace_back(it.name_string(), it.value());
+}
+
 } // namespace
 
+std::string_view HttpCallResult::header(std::string_view name) const {
+  for (const auto &[key, value] : Headers)
+    if (boost::algorithm::iequals(key, name))
+      return value;
+  return {};
+}
+
 HttpCall HttpCall::get(std::string target, absl::Duration timeout) {
   HttpCall call;
   call.Target = std::move(target);
@@ -90,6 +103,7 @@
     co_return result;
   }
   result.Status = static_cast<int>(parser.get().result_int());
+  copyHeaders(parser.get(), result);
   result.Body = std::move(parser.get().body());
   if (!parser.get().keep_alive())
     Stream.reset();
--- a/drivers/loop/http_client.h
+++ b/drivers/loop/http_client.h
@@ -9,6 +9,9 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
 
 namespace orioletally::drivers::loop {
 
@@ -32,11 +35,16 @@
 struct HttpCallResult {
   /// 0 when no complete answer was received.
   int Status = 0;
+  std::vector<std::pair<std::string, std::string>> Headers;
   std::string Body;
   /// Why there is no answer; set when Status is 0.
   std::string Failure;
   /// Whether the server may have received the call.
   bool MayHaveArrived = false;
+
+  /// Returns the value of the header \p name, in any case; empty if there is
+  /// none.
+  std::string_view header(std::string_view name) const;
 };
 
 /// HTTP/1.1 client of one server, over one connection that is kept open between
--- a/tests/platform/test_codecs.cpp
+++ b/tests/platform/test_codecs.cpp
@@ -304,3 +304,37 @@
     CHECK_FALSE(head.RequestsPerSecond.has_value());
   }
 }
+
+TEST_GROUP(StoreEras){};
+
+TEST(StoreEras, LaterErasHaveHigherVersions) {
+  const std::string text =
+      R"({"rows":[{"key":"a","schema_version":3}],"schema_version":7})";
+  const auto newest = [&](uint64_t era) {
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<uint64_t> {
+          BOOST_LEAF_AUTO(rows, decodeRows(text, era));
+          LONGS_EQUAL(versionInEra(era, 3), rows.Rows.front().Version);
+          return rows.NewestVersion;
+        },
+        [] { return uint64_t{0}; });
+  };
+  LONGS_EQUAL(7, newest(0));
+  CHECK(newest(2) > versionInEra(1, 1'000'000));
+  LONGS_EQUAL(2, eraOf(newest(2)));
+}
+
+TEST(StoreEras, TheStoreIsSentItsOwnVersions) {
+  const uint64_t version = versionInEra(5, 42);
+  STRCMP_CONTAINS("since_rev=42&", changesTarget("t", version, 0).c_str());
+  STRCMP_CONTAINS("\"schema_version\":42",
+                  encodePut("t", "k", "v", version).c_str());
+  STRCMP_CONTAINS("\"schema_version\":42",
+                  encodeRemoval("t", "k", version).c_str());
+}
+
+TEST(StoreEras, EraIsZeroWithoutAReadableHeader) {
+  LONGS_EQUAL(3, decodeEra("3"));
+  for (const char *text : {"", "x", "-1"})
+    LONGS_EQUAL(0, decodeEra(text));
+}
