--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -9,7 +9,7 @@
 echo "lint: format of ${#all[@]} files is clean"
 
 # The platform's wire names may occur only in its adapter and in tests.
-names='X-Orioletally-|rows-(tx|get|feed|parts)|orioletally/(report|order|blob|readiness)|At-Server'
+names='X-Orioletally-|rows-(tx|get|feed|parts)|orioletally/(report|order|blob|readiness)|At-Server|Server-Limit|Store-Era'
 if git grep -nIE "$names" -- core drivers main charts; then
   echo "lint: a wire name of the platform occurs outside platform/" >&2
   exit 1
