Review: long prompts get a final 413 while a worker is lost

Suspected: a prompt counts as too large if it exceeds the memory of the workers that may be sent work at this moment.

The case ends one of three model workers and sends prompts of a million tokens, which three workers hold together, beside short ones.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,15 @@
+#!/usr/bin/env bash
+# Runs the case; see claim.txt. Exit code: 0 the rule held, 1 it was broken, 2
+# the case couldn't run. TROUBLE=0 leaves the disruption out.
+set -u
+cd "$(dirname "$0")"
+REVIEW_ROOT=$(cd ../.. && pwd)
+export REVIEW_ROOT
+if [ ! -x ../bin/large ] || [ ! -x "$REVIEW_ROOT/target/orioletally" ]; then
+  echo "run the build of the deploy file and review/build.sh first"
+  exit 2
+fi
+timeout -k 2 110 ../bin/large
+code=$?
+[ "$code" -le 2 ] || code=2
+exit "$code"
