Review: one consumer's 421 takes all model workers out of use

Suspected: every 421 counts as "another backend server has the address" and marks the worker as leaving for good, on all nodes, also when the worker answers 421 because the request asks for other weights.

The case replaces six model workers by ones with new weights while one consumer still sends X-Orioletally-Expect-Version: 1, kills all nodes once and starts them again, and compares what is served before that and later than recover_s after it.

--- a/review/standins/standins.cpp
+++ b/review/standins/standins.cpp
@@ -684,6 +684,13 @@
   if (!expected.empty() && expected != Settings.Id)
     return out.write(answerText(
         421, "X-Orioletally-Instance-Id: " + Settings.Id + "\r\n", ""));
+  const std::string version = request.header("x-orioletally-expect-version");
+  if (!version.empty() && std::atoi(version.c_str()) != Settings.WeightVersion)
+    return out.write(answerText(
+        421,
+        "X-Orioletally-Attempt-Id: " + id + "\r\nX-Orioletally-Instance-Id: " +
+            Settings.Id + "\r\nAt-Server: " + Settings.Id + "\r\n",
+        ""));
   Runs::add({nowMs(), Settings.Id, Settings.Service, id,
              request.header("x-orioletally-tenant")});
   Record::write("worker " + Settings.Id + " (" + Settings.Service + ") runs " +
@@ -700,8 +707,9 @@
                        std::to_string(body.size()) + "\r\n\r\n");
     return out.write(answerText(200, head, body));
   }
-  out.write("HTTP/1.1 200 OK\r\n" + head +
-            "Content-Type: text/event-stream\r\n"
+  out.write("HTTP/1.1 200 OK\r\n" + head + "X-Orioletally-Weight-Versions: " +
+            std::to_string(Settings.WeightVersion) +
+            "\r\nContent-Type: text/event-stream\r\n"
             "Transfer-Encoding: chunked\r\n\r\n");
   const std::string lastId = request.header("last-event-id");
   for (int n = std::atoi(lastId.c_str()) + 1; n <= Settings.Events; ++n) {
--- a/review/standins/standins.h
+++ b/review/standins/standins.h
@@ -196,6 +196,8 @@
   /// Events of a stream, if the service streams; 0 for a plain service.
   int Events = 0;
   int64_t EventGapMs = 100;
+  /// Version of the weights of a model worker.
+  int WeightVersion = 1;
 };
 
 /// A worker: registers in the store, answers requests, leaves as PROTOCOL.md
