Review: a fraction among the bounds keeps all nodes from starting

The case changes budget_slack from 100 to 102.5 in the settings of three running nodes, with SIGHUP, kills all processes later and starts them again as often as they end, and compares what is served before that and later than recover_s after it.

--- a/review/standins/standins.h
+++ b/review/standins/standins.h
@@ -255,6 +255,8 @@
   Node(const Node &) = delete;
   Node &operator=(const Node &) = delete;
 
+  /// Fills in the template once more, with \p value for the field \p name.
+  void changeSettings(const std::string &name, const std::string &value);
   void start();
   bool waitReady(int64_t timeoutMs) const;
   bool isReady() const;
@@ -272,6 +274,9 @@
   std::string Ip;
   std::string Front;
   std::string Ready;
+  void writeSettings() const;
+
+  std::map<std::string, std::string> Fields;
   std::string SettingsFile;
   std::string Log;
   pid_t Pid = -1;
