Review: end a case's program when its script is ended

A script that was ended by a signal left its program running for up to 110 s. It ends the program now, and the nodes end with that.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -9,7 +9,10 @@
   echo "run the build of the deploy file and review/build.sh first"
   exit 2
 fi
-timeout -k 2 110 ../bin/watchers
+timeout -k 2 110 ../bin/watchers &
+pid=$!
+trap 'kill "$pid" 2> /dev/null' EXIT INT TERM
+wait "$pid"
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
