--- a/review/cases/settings.cpp
+++ b/review/cases/settings.cpp
@@ -95,7 +95,6 @@
   if (hasTrouble()) {
     for (Node &it : nodes) {
       it.changeSettings("bounds.budget_slack", isWhole ? "103" : "102.5");
-      it.signal(SIGHUP);
       sleepMs(500);
     }
     sleepMs(4000);
--- a/review/standins/standins.cpp
+++ b/review/standins/standins.cpp
@@ -743,6 +743,7 @@
             {"bounds.retry_budget_ratio", "0.2"},
             {"bounds.budget_slack", "100"},
             {"bounds.budget_window_s", "10"}};
+  MetricsPort = std::to_string(freePort(Ip));
   writeSettings();
 }
 
@@ -753,6 +754,8 @@
   std::string text = buffer.str();
   for (const auto &[name, value] : Fields)
     text = replaced(text, "{{" + name + "}}", value);
+  // The deploy file's port for metrics may be in use here.
+  text += "\n[metrics]\nport = " + MetricsPort + "\n";
   std::ofstream(SettingsFile) << text;
 }
 
--- a/review/standins/standins.h
+++ b/review/standins/standins.h
@@ -277,6 +277,7 @@
   void writeSettings() const;
 
   std::map<std::string, std::string> Fields;
+  std::string MetricsPort;
   std::string SettingsFile;
   std::string Log;
   pid_t Pid = -1;
