--- a/review/cases/weights.cpp
+++ b/review/cases/weights.cpp
@@ -1,4 +1,5 @@
 // The model workers are replaced one after the other by ones with new weights,
+// in two releases,
 // while one consumer still asks for the old version; then all processes of the
 // system are killed and start again. Compares how many requests are served
 // before the final fault and later than recover_s after it.
@@ -139,6 +140,9 @@
   if (hasTrouble()) {
     int n = 0;
     for (const auto &it : models) {
+      // Two releases, each of half of the workers.
+      if (n * 2 == static_cast<int>(models.size()))
+        sleepMs(2000);
       fresh.push_back(modelWorker(store, "n-" + std::to_string(++n), 2));
       sleepMs(300);
       it->drain();
@@ -150,7 +154,7 @@
     Record::write("all model workers have weights 2");
     sleepMs(1000);
   } else {
-    sleepMs(9500);
+    sleepMs(11'500);
   }
   Current = nullptr;
   if (hasTrouble()) {
