Let a setting that can't be used cost only itself

Cause: one bound in the settings had become 102.5. retries.slack was an integer, one rejected value refused the whole file, and at a start the process exits; all VMs have the same bounds.

Hypotheses: (1) the value ends the process at each start: exits with one line each, a whole number in its place serves; (2) rows left in the store by nodes that are gone block the start: processes run, but aren't ready; (3) the change harms the running nodes: calls fail before the kill. Signals: 54 exits, each with "retries.slack: expected integer, 0 to 100000"; WHOLE=1 (103) held, 390 of 390 served; all calls between change and kill were served.

Change: each value is read by itself; an unusable one keeps the value in force, or the default at a start. A file without the node's addresses is read again until it can be used.

--- a/core/fields/field_table.cpp
+++ b/core/fields/field_table.cpp
@@ -1,6 +1,9 @@
 #include "core/fields/field_table.h"
 
+#include <algorithm>
+#include <cmath>
 #include <fmt/format.h>
+#include <optional>
 #include <utility>
 #include <xxhash.h>
 
@@ -38,14 +41,24 @@
   return "";
 }
 
-leaf::error_id invalidValue(const FieldSpec &spec) {
+std::string expectationText(const FieldSpec &spec) {
   std::string reason = fmt::format("expected {}", typeName(spec.Type));
   const std::string range = rangeText(spec);
   if (!range.empty())
     reason += fmt::format(", {}", range);
   if (!spec.Unit.empty())
     reason += fmt::format(" ({})", spec.Unit);
-  return leaf::new_error(FieldError{std::string(spec.Key), reason});
+  return reason;
+}
+
+leaf::error_id invalidValue(const FieldSpec &spec) {
+  return leaf::new_error(
+      FieldError{std::string(spec.Key), expectationText(spec)});
+}
+
+leaf::error_id missingKey(const FieldSpec &spec) {
+  return leaf::new_error(
+      FieldError{std::string(spec.Key), "required key is missing"});
 }
 
 leaf::result<FieldValue> readInteger(const FieldSpec &spec,
@@ -67,7 +80,10 @@
   if (!value.is_number())
     return invalidValue(spec);
   const auto n = value.get<double>();
-  if (n < static_cast<double>(spec.Min) || n > static_cast<double>(spec.Max))
+  const bool isInRange =
+      n >= static_cast<double>(spec.Min) && n <= static_cast<double>(spec.Max);
+  // NaN isn't in any range.
+  if (!isInRange)
     return invalidValue(spec);
   return FieldValue(n);
 }
@@ -132,6 +148,65 @@
   return invalidValue(spec);
 }
 
+/// Returns the number for \p spec that is nearest to \p value; empty if
+/// \p value isn't a finite number or the field has no number.
+std::optional<FieldValue> nearestNumber(const FieldSpec &spec,
+                                        const nlohmann::json &value) {
+  const bool isNumber =
+      spec.Type == FieldType::Integer || spec.Type == FieldType::Real;
+  if (!isNumber || !value.is_number() || !std::isfinite(value.get<double>()))
+    return std::nullopt;
+  const double n =
+      std::clamp(value.get<double>(), static_cast<double>(spec.Min),
+                 static_cast<double>(spec.Max));
+  if (spec.Type == FieldType::Real)
+    return FieldValue(n);
+  return FieldValue(static_cast<int64_t>(std::floor(n)));
+}
+
+bool isSameNumber(const nlohmann::json &value, const FieldValue &used) {
+  if (const auto *n = std::get_if<int64_t>(&used))
+    return value.get<double>() == static_cast<double>(*n);
+  return value.get<double>() == std::get<double>(used);
+}
+
+std::string valueText(const FieldValue &value) {
+  return std::visit([](const auto &it) { return nlohmann::json(it).dump(); },
+                    value);
+}
+
+leaf::result<FieldValue> defaultOf(const FieldSpec &spec) {
+  if (spec.Default.empty())
+    return missingKey(spec);
+  return readValue(spec, nlohmann::json::parse(spec.Default));
+}
+
+/// Returns \p given if it is valid, or what replaces it; then adds the reason
+/// to \p rejected.
+leaf::result<FieldValue> usableValue(const FieldSpec &spec,
+                                     const nlohmann::json &given,
+                                     const FieldValues *known,
+                                     std::vector<FieldError> &rejected) {
+  std::optional<FieldValue> used = nearestNumber(spec, given);
+  if (used.has_value() && isSameNumber(given, *used))
+    return *used;
+  const leaf::result<FieldValue> valid = readValue(spec, given);
+  if (valid)
+    return *valid;
+  if (!used.has_value() && known != nullptr) {
+    const FieldValue *const before = known->find(spec.Key);
+    if (before != nullptr)
+      used = *before;
+  }
+  if (!used.has_value()) {
+    BOOST_LEAF_ASSIGN(used, defaultOf(spec));
+  }
+  rejected.push_back(
+      {std::string(spec.Key),
+       fmt::format("{}; {} is used", expectationText(spec), valueText(*used))});
+  return *used;
+}
+
 } // namespace
 
 const FieldValue &FieldValues::at(std::string_view key) const {
@@ -158,6 +233,11 @@
   return std::get<std::vector<std::string>>(at(key));
 }
 
+const FieldValue *FieldValues::find(std::string_view key) const {
+  const auto it = Values.find(key);
+  return it == Values.end() ? nullptr : &it->second;
+}
+
 void FieldValues::set(std::string_view key, FieldValue value) {
   Values.insert_or_assign(std::string(key), std::move(value));
 }
@@ -206,15 +286,34 @@
   for (const FieldSpec &it : Specs) {
     if (object.contains(it.Key))
       continue;
-    if (it.Default.empty())
-      return leaf::new_error(
-          FieldError{std::string(it.Key), "required key is missing"});
-    BOOST_LEAF_AUTO(parsed, readValue(it, nlohmann::json::parse(it.Default)));
-    values.set(it.Key, std::move(parsed));
+    BOOST_LEAF_AUTO(value, defaultOf(it));
+    values.set(it.Key, std::move(value));
   }
   return values;
 }
 
+leaf::result<TolerantFields>
+FieldTable::readTolerantly(const nlohmann::json &object,
+                           const FieldValues *known) const {
+  if (!object.is_object())
+    return leaf::new_error(FieldError{"", "expected an object of fields"});
+  TolerantFields result;
+  for (const auto &[key, value] : object.items())
+    if (find(key) == nullptr)
+      result.Rejected.push_back({key, "unknown key, ignored"});
+  for (const FieldSpec &it : Specs) {
+    if (!object.contains(it.Key)) {
+      BOOST_LEAF_AUTO(value, defaultOf(it));
+      result.Values.set(it.Key, std::move(value));
+      continue;
+    }
+    const nlohmann::json &given = object.at(std::string(it.Key));
+    BOOST_LEAF_AUTO(value, usableValue(it, given, known, result.Rejected));
+    result.Values.set(it.Key, std::move(value));
+  }
+  return result;
+}
+
 uint64_t FieldTable::hash() const {
   std::string text;
   for (const FieldSpec &it : Specs)
--- a/core/fields/field_table.h
+++ b/core/fields/field_table.h
@@ -62,6 +62,9 @@
   /// hashes.
   uint64_t hash() const;
 
+  /// Returns the value of \p key, or null if there is none.
+  const FieldValue *find(std::string_view key) const;
+
   bool operator==(const FieldValues &other) const = default;
 
   /// Returns the keys whose values differ from those in \p other, in order.
@@ -73,6 +76,12 @@
   std::map<std::string, FieldValue, std::less<>> Values;
 };
 
+/// What readTolerantly() could read, and what it rejected.
+struct TolerantFields {
+  FieldValues Values;
+  std::vector<FieldError> Rejected;
+};
+
 /// An ordered list of field declarations, which parses and documents the
 /// fields.
 class FieldTable {
@@ -84,6 +93,15 @@
   /// range.
   boost::leaf::result<FieldValues> read(const nlohmann::json &object) const;
 
+  /// Reads such an object from a file that a program filled in: a value that
+  /// can't be used affects its own field only. A number out of range becomes
+  /// the nearest limit, and an integer with a fraction is rounded down. Another
+  /// unusable value is replaced by the one in \p known, or by the default if
+  /// \p known is null. Unknown keys are ignored. Fails with a FieldError if a
+  /// required field remains without a value.
+  boost::leaf::result<TolerantFields>
+  readTolerantly(const nlohmann::json &object, const FieldValues *known) const;
+
   /// Returns a hash of all keys, types, ranges and choices; it is equal in
   /// versions that accept the same values.
   uint64_t hash() const;
--- a/main/entry_node.h
+++ b/main/entry_node.h
@@ -3,12 +3,11 @@
 
 #include "core/charts/state_chart.h"
 #include "core/fields/field_table.h"
+#include "main/settings_file.h"
 
 #include <boost/leaf.hpp>
 #include <cstdint>
-#include <functional>
 #include <memory>
-#include <optional>
 
 namespace orioletally::main {
 
@@ -16,13 +15,10 @@
 /// according to the configuration in the platform's store.
 class EntryNode {
 public:
-  /// Reads the settings file again; empty, after logging the reason, when it is
-  /// invalid.
-  using SettingsReader =
-      std::function<std::optional<core::fields::FieldValues>()>;
-
+  /// Begins with \p settings and applies later changes of \p file, which must
+  /// outlive the node.
   EntryNode(const core::fields::FieldValues &settings, uint64_t incarnation,
-            core::charts::StateChart callChart, SettingsReader reread);
+            core::charts::StateChart callChart, SettingsFile &file);
   ~EntryNode();
   EntryNode(const EntryNode &) = delete;
   EntryNode &operator=(const EntryNode &) = delete;
--- a/main/entry_settings.cpp
+++ b/main/entry_settings.cpp
@@ -1,8 +1,9 @@
 #include "main/entry_settings.h"
 
-#include "main/settings.h"
+#include "main/toml_json.h"
 
 #include <array>
+#include <utility>
 
 namespace leaf = boost::leaf;
 
@@ -10,6 +11,7 @@
 
 namespace {
 
+using core::fields::FieldError;
 using core::fields::FieldSpec;
 using core::fields::FieldTable;
 using core::fields::FieldType;
@@ -18,13 +20,13 @@
 constexpr std::array<FieldSpec, 18> Specs = {{
     {"node.name", FieldType::Text, "", "", 1, 128, "",
      "Unique name of this VM."},
-    {"node.zone", FieldType::Text, "", "", 1, 64, "",
+    {"node.zone", FieldType::Text, "", "\"default\"", 1, 128, "",
      "Availability zone of this VM."},
-    {"node.region", FieldType::Text, "", "\"default\"", 1, 64, "",
+    {"node.region", FieldType::Text, "", "\"default\"", 1, 128, "",
      "Region that the availability zone belongs to."},
     {"node.max_files", FieldType::Integer, "", "4096", 256, 1048576, "",
      "Number of file descriptors that the process may open."},
-    {"node.grace_ms", FieldType::Integer, "ms", "8000", 0, 600000, "",
+    {"node.grace_s", FieldType::Real, "s", "8", 0, 600, "",
      "Time from SIGTERM until the platform sends SIGKILL."},
     {"calls.address", FieldType::Text, "", "", 9, 64, "",
      "ip:port to listen on for callers."},
@@ -47,9 +49,9 @@
      "Timeout for a call to the store; a long poll gets store.wait_ms more."},
     {"retries.share", FieldType::Real, "", "0.2", 0, 1, "",
      "Retries per call of a service in one window, over all nodes."},
-    {"retries.slack", FieldType::Integer, "", "50", 0, 100000, "",
+    {"retries.slack", FieldType::Real, "", "50", 0, 100000, "",
      "Additional retries of a service in one window, over all nodes."},
-    {"retries.window_ms", FieldType::Integer, "ms", "10000", 100, 600000, "",
+    {"retries.window_s", FieldType::Real, "s", "10", 1, 600, "",
      "Length of the sliding window of the retry budget."},
     {"log.level", FieldType::Choice, "", "\"info\"", 0, 0,
      "debug,info,warn,error", "Lowest level that is logged."},
@@ -62,9 +64,35 @@
   return table;
 }
 
-leaf::result<FieldValues> loadEntrySettings(const std::string &file) {
-  BOOST_LEAF_AUTO(text, readFile(file));
-  return parseFields(entryFields(), text, file);
+leaf::result<EntrySettings> parseEntrySettings(std::string_view text,
+                                               const std::string &file,
+                                               const FieldValues *known) {
+  FlatToml flat = flattenReadableToml(text);
+  EntrySettings result;
+  for (const TomlError &it : flat.Errors)
+    result.Rejected.push_back({file, it.Line, "", it.Reason});
+  // A line that couldn't be parsed may hold any setting that isn't found.
+  if (known != nullptr && !flat.Errors.empty()) {
+    const nlohmann::json before = known->toJson();
+    for (const auto &[key, value] : before.items())
+      if (!flat.Object.contains(key))
+        flat.Object[key] = value;
+  }
+  const auto errorFor = [&](const FieldError &ec) {
+    return SettingsError{file, flat.lineOf(ec.Key), ec.Key, ec.Reason};
+  };
+  return leaf::try_handle_some(
+      [&]() -> leaf::result<EntrySettings> {
+        BOOST_LEAF_AUTO(fields,
+                        entryFields().readTolerantly(flat.Object, known));
+        result.Values = std::move(fields.Values);
+        for (const FieldError &it : fields.Rejected)
+          result.Rejected.push_back(errorFor(it));
+        return result;
+      },
+      [&](const FieldError &ec) -> leaf::result<EntrySettings> {
+        return leaf::new_error(errorFor(ec));
+      });
 }
 
 } // namespace orioletally::main
--- a/main/main.cpp
+++ b/main/main.cpp
@@ -12,10 +12,12 @@
 #include "main/node.h"
 #include "main/operator_commands.h"
 #include "main/settings.h"
+#include "main/settings_file.h"
 
 #include <absl/strings/ascii.h>
 #include <array>
 #include <boost/program_options.hpp>
+#include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <fmt/format.h>
@@ -23,6 +25,7 @@
 #include <iostream>
 #include <optional>
 #include <sys/resource.h>
+#include <thread>
 
 namespace leaf = boost::leaf;
 namespace po = boost::program_options;
@@ -35,6 +38,8 @@
 constexpr const char *SettingsVariable = "ORIOLETALLY_SETTINGS";
 constexpr const char *TokenVariable = "ORIOLETALLY_TOKEN";
 constexpr int DefaultWaitSeconds = 30;
+/// Time between two reads of a settings file that can't be used yet.
+constexpr auto SettingsRetryInterval = std::chrono::milliseconds(100);
 
 /// SIGTERM and SIGINT, received synchronously by the main thread.
 class StopSignals {
@@ -129,37 +134,31 @@
                                     : path;
 }
 
-/// Reads the settings in \p file; empty, after logging the reason, when they
-/// are invalid.
-std::optional<core::fields::FieldValues>
-rereadSettings(const std::string &file) {
-  using Result = std::optional<core::fields::FieldValues>;
-  const auto refused = [](const std::string &reason) {
-    drivers::log::write(drivers::log::Level::Error, "reload_refused",
-                        {{"reason", reason}});
-    return Result();
-  };
-  return leaf::try_handle_all(
-      [&]() -> leaf::result<Result> {
-        BOOST_LEAF_AUTO(settings, loadEntrySettings(file));
-        return Result(std::move(settings));
-      },
-      [&](const SettingsError &ec) { return refused(ec.text()); },
-      [&] { return refused(file + ": can't be read"); });
+/// Returns the settings in \p file once they can be used. The platform may be
+/// replacing the file, and a process that exits would only be started again.
+core::fields::FieldValues waitForSettings(SettingsFile &file) {
+  std::optional<core::fields::FieldValues> settings = file.read();
+  while (!settings.has_value()) {
+    std::this_thread::sleep_for(SettingsRetryInterval);
+    settings = file.readIfChanged();
+  }
+  return std::move(*settings);
 }
 
 ExitCode serveEntry(const std::string &file) {
+  // SIGHUP would end the process until the node handles it.
+  std::signal(SIGHUP, SIG_IGN);
   raiseFileLimit();
   return runReportingErrors([&]() -> leaf::result<ExitCode> {
-    BOOST_LEAF_AUTO(settings, loadEntrySettings(file));
+    SettingsFile settingsFile(file);
+    const core::fields::FieldValues settings = waitForSettings(settingsFile);
     const auto incarnation =
         static_cast<uint64_t>(absl::ToUnixMillis(drivers::clock::wallNow()));
     drivers::log::setIdentity(
         settings.text("node.name"), incarnation,
         drivers::log::levelFromName(settings.text("log.level")));
     BOOST_LEAF_AUTO(chart, charts::callChart());
-    EntryNode node(settings, incarnation, std::move(chart),
-                   [file] { return rereadSettings(file); });
+    EntryNode node(settings, incarnation, std::move(chart), settingsFile);
     BOOST_LEAF_CHECK(node.start());
     const bool isCleanExit = node.run();
     drivers::log::write(drivers::log::Level::Info, "stopped",
--- a/main/toml_json.cpp
+++ b/main/toml_json.cpp
@@ -1,7 +1,11 @@
 #include "main/toml_json.h"
 
+#include <absl/strings/str_join.h>
+#include <absl/strings/str_split.h>
+#include <algorithm>
 #include <fmt/format.h>
 #include <toml++/toml.h>
+#include <utility>
 
 namespace leaf = boost::leaf;
 
@@ -39,7 +43,11 @@
              FlatToml &flat) {
   for (const auto &[key, node] : table) {
     const std::string name = fmt::format("{}{}", prefix, key.str());
-    if (const toml::table *inner = node.as_table()) {
+    const toml::table *inner = node.as_table();
+    // "key = {}" gives the key a value, unlike an empty section.
+    const bool isSection =
+        inner != nullptr && !(inner->is_inline() && inner->empty());
+    if (isSection) {
       flatten(*inner, name + ".", flat);
       continue;
     }
@@ -57,6 +65,32 @@
   return 0;
 }
 
+FlatToml flattenReadableToml(std::string_view text) {
+  std::vector<std::string> lines = absl::StrSplit(std::string(text), '\n');
+  std::vector<TomlError> errors;
+  for (;;) {
+    const auto failed = [&](const TomlError &ec) {
+      errors.push_back(ec);
+      return FlatToml();
+    };
+    const size_t known = errors.size();
+    FlatToml flat = leaf::try_handle_all(
+        [&] { return flattenToml(absl::StrJoin(lines, "\n")); }, failed,
+        [&] {
+          return failed({0, "unexpected failure"});
+        });
+    const bool isParsed = errors.size() == known;
+    const size_t line =
+        isParsed ? 0 : static_cast<size_t>(std::max(0, errors.back().Line));
+    // Each round leaves out one more line.
+    if (line == 0 || line > lines.size() || lines[line - 1].empty()) {
+      flat.Errors = std::move(errors);
+      return flat;
+    }
+    lines[line - 1].clear();
+  }
+}
+
 leaf::result<FlatToml> flattenToml(std::string_view text) {
   FlatToml flat;
   try {
--- a/main/toml_json.h
+++ b/main/toml_json.h
@@ -25,6 +25,8 @@
 struct FlatToml {
   nlohmann::json Object = nlohmann::json::object();
   std::vector<KeyLine> Lines;
+  /// The lines that flattenReadableToml() left out.
+  std::vector<TomlError> Errors;
 
   /// Returns the line of \p key; 0 when the text doesn't contain it.
   int lineOf(std::string_view key) const;
@@ -33,6 +35,9 @@
 /// Parses TOML \p text. Fails with a TomlError.
 boost::leaf::result<FlatToml> flattenToml(std::string_view text);
 
+/// Parses TOML \p text without the lines that can't be parsed.
+FlatToml flattenReadableToml(std::string_view text);
+
 } // namespace orioletally::main
 
 #endif
