--- a/tests/platform/test_codecs.cpp
+++ b/tests/platform/test_codecs.cpp
@@ -85,6 +85,43 @@
   }
 }
 
+// Guards against a configuration that is refused because of a decimal point.
+TEST(ConfigCodec, ReadsNumbersInEveryNotation) {
+  struct Case {
+    const char *Part;
+    const char *Replacement;
+  };
+  const Case cases[] = {
+      {"\"version\":7", "\"version\":7.0"},
+      {"\"priority\":1", "\"priority\":1.0"},
+      {"\"max_attempts\":2", "\"max_attempts\":2.0"},
+      {"\"timeout_ms\":10000", "\"timeout_ms\":10000.5"},
+      {"\"slots\":16", "\"slots\":16.0"},
+      {"\"kv_capacity\":450000", "\"kv_capacity\":4.5e5"},
+      {"\"stride\":46", "\"stride\":46.0"},
+      {"\"chunk\":2048", "\"chunk\":2048.0"},
+      // A mean needn't be whole.
+      {"\"answer\":1541", "\"answer\":1541.4"},
+      {"\"max_header_bytes\":16384", "\"max_header_bytes\":16384.0"},
+      {"\"max_body_bytes\":4194304", "\"max_body_bytes\":4194304.0"},
+  };
+  for (const Case &it : cases) {
+    const std::string text = replaced(SampleConfig, it.Part, it.Replacement);
+    STRCMP_EQUAL("", failingField([&] { return decodeConfig(text); }).c_str());
+  }
+}
+
+TEST(ConfigCodec, RejectsFractionsOfWhatIsCounted) {
+  for (const auto &[part, where] : {std::pair("\"version\":7", "version"),
+                                    {"\"slots\":16", "slots"},
+                                    {"\"max_attempts\":2", "max_attempts"}}) {
+    const std::string text =
+        replaced(SampleConfig, part, std::string(part) + ".5");
+    STRCMP_EQUAL(where,
+                 failingField([&] { return decodeConfig(text); }).c_str());
+  }
+}
+
 TEST_GROUP(BackendEntryCodec) {
   std::string text =
       R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":6,)"
@@ -244,6 +281,18 @@
   CHECK(rows.HasMore);
 }
 
+// Guards against answers that are refused because of the store's clock.
+TEST(RowCodec, ReadsNumbersInEveryNotation) {
+  const StoreRows rows = leaf::try_handle_all(
+      [] {
+        return decodeRows(
+            R"({"rows":[],"schema_version":9.0,"now_ms":1234.5})");
+      },
+      [] { return StoreRows(); });
+  LONGS_EQUAL(9, rows.NewestVersion);
+  LONGS_EQUAL(1'235, rows.NowMs);
+}
+
 TEST(RowCodec, RejectsAnswerWithoutVersion) {
   STRCMP_EQUAL("schema_version", failingField([] {
                                    return decodeRows(R"({"rows":[]})");
