Keep nodes current whatever happens to the watchers of their cell

Cause: a node that doesn't watch the store noticed the loss of all watchers by their silence (2.5 s) or the age of their last answer (2.8 s). Both exceed the bound, for the configuration and for the list of backend servers.

Hypotheses: (1) nobody reads the store until the loss is noticed; (2) the others read in time but get an old version; (3) the new version is there, calls still go by the old one. Signals: follow_duty and config_in_force of the five, the calls at the stand-in store, the last late call. Ruled out as a mend: shorter timeouts (a bound just past the case).

Change: a node counts the time since it was last shown to be current, by an answer of the store to itself or to a node that has nothing newer, and reads the changes itself after 1.1 to 1.5 s. Two watchers poll for 0.75 s instead of four for 1.5 s, and tell the cell of each answer and of the version it covers.

StoreWatchPolicy LimitsTheStoreCalls... now allows 55 calls instead of 110: two watchers try in a slot. WatcherCount of the Cell tests is the policy's own.

--- a/core/fleet/store_watch_policy.cpp
+++ b/core/fleet/store_watch_policy.cpp
@@ -41,6 +41,12 @@
   known = std::max(known, at);
 }
 
+void StoreWatchPolicy::recordCurrent(platform::FleetTopic topic,
+                                     absl::Time at) {
+  absl::Time &known = Topics[static_cast<size_t>(topic)].CurrentAt;
+  known = std::max(known, at);
+}
+
 StoreWatchPolicy::WatchCounts
 StoreWatchPolicy::countWatchers(platform::FleetTopic topic,
                                 absl::Time now) const {
@@ -51,6 +57,8 @@
     if (now - peer.AnsweredAt[static_cast<size_t>(topic)] >=
         StoreAnswerMaxAge) {
       ++result.NotWatching;
+      if (peer.Hash < SelfHash)
+        ++result.NotWatchingBefore;
       continue;
     }
     ++result.Watching;
@@ -73,7 +81,7 @@
 bool StoreWatchPolicy::shouldWatchStore(platform::FleetTopic topic,
                                         absl::Time ownAnsweredAt,
                                         absl::Time now) const {
-  if (Peers.size() < SmallCellNodes)
+  if (!isWatchShared())
     return true;
   const WatchCounts counts = countWatchers(topic, now);
   if (now - ownAnsweredAt < StoreAnswerMaxAge)
@@ -83,4 +91,39 @@
                         counts.NotWatching + 1, topic, now);
 }
 
+absl::Duration StoreWatchPolicy::readDelay(platform::FleetTopic topic,
+                                           absl::Time now) const {
+  absl::Duration delay;
+  size_t groupEnd = FirstGroupNodes;
+  size_t groupNodes = FirstGroupNodes;
+  const size_t before = countWatchers(topic, now).NotWatchingBefore;
+  while (before >= groupEnd && delay < MaxReadDelay) {
+    delay += ReadStagger;
+    groupNodes *= 2;
+    groupEnd += groupNodes;
+  }
+  return delay;
+}
+
+bool StoreWatchPolicy::takeRead(platform::FleetTopic topic,
+                                const StoreCallTimes &own, absl::Time now) {
+  TopicState &state = Topics[static_cast<size_t>(topic)];
+  const absl::Time endedAt = std::max(own.AnsweredAt, own.FailedAt);
+  if (endedAt < state.ReadingSince)
+    return false;
+  if (state.ReadingSince != absl::InfinitePast() &&
+      endedAt - state.ReadingSince > SlowAnswerTime)
+    state.PausedUntil = endedAt + SlowAnswerPause;
+  state.ReadingSince = absl::InfinitePast();
+  const absl::Time current = std::max(own.AnsweredAt, state.CurrentAt);
+  // A node that was never current is still in its first read.
+  if (current == absl::InfinitePast() || own.FailedAt > current ||
+      now < state.PausedUntil || now - current < CurrentMaxAge ||
+      shouldWatchStore(topic, own.AnsweredAt, now) ||
+      now - current < CurrentMaxAge + readDelay(topic, now))
+    return false;
+  state.ReadingSince = now;
+  return true;
+}
+
 } // namespace orioletally::core::fleet
--- a/core/platform/fleet_source.h
+++ b/core/platform/fleet_source.h
@@ -93,6 +93,19 @@
   /// Schedules one read of \p topic, unless one is pending.
   virtual void refresh(FleetTopic topic) = 0;
 
+  /// Reads the changes of \p topic once, without waiting for one, if the topic
+  /// isn't watched.
+  virtual void readChangesOnce(FleetTopic topic) = 0;
+
+  /// Version up to which all changes of \p topic are known; 0 before the first
+  /// read.
+  virtual uint64_t knownVersion(FleetTopic topic) = 0;
+
+  /// Records that this node knows all changes of \p topic up to \p version
+  /// from others, so that the next read begins after it. Ignored if the store
+  /// was restored between that version and the last read.
+  virtual void skipTo(FleetTopic topic, uint64_t version) = 0;
+
   /// Removes this node from the list of nodes for good.
   virtual void unregisterSelf() = 0;
 
--- a/drivers/loop/http_client.h
+++ b/drivers/loop/http_client.h
@@ -61,6 +61,9 @@
   /// Closes the connection, which fails a call in progress.
   void close();
 
+  /// Closes the connection between calls; the next one opens another.
+  void disconnect() { Stream.reset(); }
+
   uint64_t bytesSent() const { return Sent; }
   uint64_t bytesReceived() const { return Received; }
 
--- a/drivers/relay/fleet_view.cpp
+++ b/drivers/relay/fleet_view.cpp
@@ -150,6 +150,7 @@
   if (topic == FleetTopic::Backends)
     Context.Dispatcher.directory().setListUnavailable(now);
   TopicState &state = TopicStates[static_cast<size_t>(topic)];
+  state.Calls.FailedAt = now;
   if (std::exchange(state.IsFailing, true))
     return;
   state.FailingSince = now;
@@ -164,7 +165,9 @@
   if (topic == FleetTopic::Backends)
     Context.Dispatcher.directory().setListAvailable(now);
   TopicState &state = TopicStates[static_cast<size_t>(topic)];
-  state.AnsweredAt = now;
+  state.Calls.AnsweredAt = now;
+  if (OnStoreAnswered)
+    OnStoreAnswered(topic);
   if (!std::exchange(state.IsFailing, false))
     return;
   log::write(
@@ -173,6 +176,16 @@
        {"lost_for_ms", absl::ToInt64Milliseconds(now - state.FailingSince)}});
 }
 
+void FleetView::recordPeerAnswer(FleetTopic topic, absl::Time at,
+                                 uint64_t newestBackendChange) {
+  if (topic != FleetTopic::Backends)
+    return;
+  // The next changes from the store begin after what the peer had.
+  ListVersions.advanceStore(newestBackendChange);
+  if (at > storeCalls(topic).FailedAt)
+    Context.Dispatcher.directory().setListAvailable(clock::steadyNow());
+}
+
 void FleetView::rowRejected(FleetTopic topic, const std::string &key,
                             const std::string &reason) {
   log::write(log::Level::Warn, "row_rejected",
--- a/drivers/relay/fleet_view.h
+++ b/drivers/relay/fleet_view.h
@@ -3,6 +3,7 @@
 
 #include "core/fleet/backend_directory.h"
 #include "core/fleet/backend_list_versions.h"
+#include "core/fleet/store_watch_policy.h"
 #include "core/platform/fleet_source.h"
 #include "drivers/relay/relay_context.h"
 
@@ -78,12 +79,24 @@
   /// Version of the newest change of the backend servers.
   uint64_t newestBackendChange() const { return ListVersions.newestChange(); }
 
-  /// When the store last answered this node about \p topic; infinite past for
-  /// never.
-  absl::Time storeAnsweredAt(core::platform::FleetTopic topic) const {
-    return TopicStates[static_cast<size_t>(topic)].AnsweredAt;
+  /// When this node's latest calls of the store about \p topic ended.
+  const core::fleet::StoreCallTimes &
+  storeCalls(core::platform::FleetTopic topic) const {
+    return TopicStates[static_cast<size_t>(topic)].Calls;
   }
 
+  /// \p handler is called after the store answered a call about a topic.
+  void setStoreAnsweredHandler(
+      std::function<void(core::platform::FleetTopic)> handler) {
+    OnStoreAnswered = std::move(handler);
+  }
+
+  /// Records that the store answered another node about \p topic at \p at, and
+  /// that this node has all that the other one has; \p newestBackendChange is
+  /// the newest change of the backend servers that the other one has.
+  void recordPeerAnswer(core::platform::FleetTopic topic, absl::Time at,
+                        uint64_t newestBackendChange);
+
   /// Marks the backend servers \p ids, which a peer announced, as leaving.
   void applyPeerLeaving(const std::vector<std::string> &ids);
 
@@ -96,7 +109,7 @@
   struct TopicState {
     bool IsFailing = false;
     absl::Time FailingSince;
-    absl::Time AnsweredAt = absl::InfinitePast();
+    core::fleet::StoreCallTimes Calls;
   };
 
   /// Applies the changes that are new to this node, and sets in removals how
@@ -114,6 +127,7 @@
   std::function<void(const std::vector<core::platform::NodeEntry> &)>
       OnNodesRead;
   std::function<bool(const std::string &)> OnPeerKeyRead;
+  std::function<void(core::platform::FleetTopic)> OnStoreAnswered;
   std::function<void(uint64_t, const std::vector<core::fleet::BackendChange> &)>
       OnBackendsChanged;
   core::fleet::BackendListVersions ListVersions;
--- a/drivers/relay/node_update.cpp
+++ b/drivers/relay/node_update.cpp
@@ -156,6 +156,8 @@
   message.set_config_version(update.ConfigVersion);
   message.set_config_followed_ago(encodeAge(update.ConfigAnsweredAt, now));
   message.set_backends_followed_ago(encodeAge(update.BackendsAnsweredAt, now));
+  message.set_config_store_version(update.ConfigStoreVersion);
+  message.set_backends_store_version(update.BackendsStoreVersion);
   message.set_backends_version(update.BackendsVersion);
   message.set_backends_since(update.BackendsSince);
   for (const LoadUpdate &it : update.LoadUpdates)
@@ -191,6 +193,8 @@
   update.ConfigVersion = message.config_version();
   update.ConfigAnsweredAt = decodeAge(message.config_followed_ago(), now);
   update.BackendsAnsweredAt = decodeAge(message.backends_followed_ago(), now);
+  update.ConfigStoreVersion = message.config_store_version();
+  update.BackendsStoreVersion = message.backends_store_version();
   update.BackendsVersion = message.backends_version();
   update.BackendsSince = message.backends_since();
   for (const proto::PromptNews &it : message.prompts())
--- a/drivers/relay/node_update.h
+++ b/drivers/relay/node_update.h
@@ -27,6 +27,10 @@
   /// the backend servers, by the receiver's clock; infinite past for never.
   absl::Time ConfigAnsweredAt = absl::InfinitePast();
   absl::Time BackendsAnsweredAt = absl::InfinitePast();
+  /// Versions of the store up to which the sender has all changes of the
+  /// configuration and of the backend servers; 0 for none.
+  uint64_t ConfigStoreVersion = 0;
+  uint64_t BackendsStoreVersion = 0;
   /// Version of the newest change of the backend servers that the sender has.
   uint64_t BackendsVersion = 0;
   std::vector<core::relay::LoadUpdate> LoadUpdates;
--- a/drivers/relay/peer_link.cpp
+++ b/drivers/relay/peer_link.cpp
@@ -31,6 +31,10 @@
 /// Well below the time that nodes wait for objections to a quarantine. Reports
 /// of one crash come from many nodes within this time and need one answer.
 constexpr absl::Duration SoundFlushDelay = absl::Milliseconds(50);
+/// An answer of the store is normally sent together with other updates; it
+/// must reach the cell well before
+/// core::fleet::StoreWatchPolicy::CurrentMaxAge.
+constexpr absl::Duration StoreAnswerFlushDelay = absl::Milliseconds(30);
 /// Longest time between two messages to the cell.
 constexpr absl::Duration HeartbeatInterval = absl::Seconds(1);
 /// Nothing is sent to a node that has sent nothing for this long.
@@ -179,6 +183,14 @@
     flushWithin(SentFlushDelay);
 }
 
+void PeerLink::announceStoreAnswer(FleetTopic topic) {
+  if (!WatchPolicy.isWatchShared())
+    return;
+  if (WatchPolicy.isReading(topic) ||
+      shouldWatchStore(topic, clock::steadyNow()))
+    flushWithin(StoreAnswerFlushDelay);
+}
+
 void PeerLink::announceBackendChanges(
     uint64_t since, const std::vector<BackendChange> &changes) {
   NodeUpdate update = makeNodeUpdate();
@@ -269,8 +281,11 @@
   update.PeerAddress = Self.PeerAddress;
   update.Incarnation = Self.Incarnation;
   update.ConfigVersion = Handlers.ConfigVersion();
-  update.ConfigAnsweredAt = Handlers.StoreAnsweredAt(FleetTopic::Config);
-  update.BackendsAnsweredAt = Handlers.StoreAnsweredAt(FleetTopic::Backends);
+  update.ConfigAnsweredAt = Handlers.StoreCalls(FleetTopic::Config).AnsweredAt;
+  update.BackendsAnsweredAt =
+      Handlers.StoreCalls(FleetTopic::Backends).AnsweredAt;
+  update.ConfigStoreVersion = Handlers.StoreVersion(FleetTopic::Config);
+  update.BackendsStoreVersion = Handlers.StoreVersion(FleetTopic::Backends);
   update.BackendsVersion = Handlers.NewestBackendChange();
   return update;
 }
@@ -307,11 +322,6 @@
   if (update->IsFleetWide && known == Peers.end())
     return;
   updatePeer(*update, now);
-  WatchPolicy.recordMessage(update->Node, now);
-  WatchPolicy.recordStoreAnswer(update->Node, FleetTopic::Config,
-                                update->ConfigAnsweredAt);
-  WatchPolicy.recordStoreAnswer(update->Node, FleetTopic::Backends,
-                                update->BackendsAnsweredAt);
   for (const LoadUpdate &it : update->LoadUpdates)
     Handlers.OnPeerLoadUpdate(it);
   if (!update->Backends.empty())
@@ -321,9 +331,27 @@
     Handlers.OnPeerLeavingBackends(update->Leaving);
   if (!update->Config.empty())
     Handlers.OnPeerConfig(update->Config);
+  recordStoreAnswers(*update, now);
   catchUp(*update, now);
 }
 
+void PeerLink::recordStoreAnswers(const NodeUpdate &update, absl::Time now) {
+  WatchPolicy.recordMessage(update.Node, now);
+  const auto record = [&](FleetTopic topic, absl::Time at, bool hasAll) {
+    if (at == absl::InfinitePast())
+      return;
+    WatchPolicy.recordStoreAnswer(update.Node, topic, at);
+    if (!hasAll)
+      return;
+    WatchPolicy.recordCurrent(topic, at);
+    Handlers.OnPeerStoreAnswer(topic, at, update);
+  };
+  record(FleetTopic::Config, update.ConfigAnsweredAt,
+         Handlers.ConfigVersion() >= update.ConfigVersion);
+  record(FleetTopic::Backends, update.BackendsAnsweredAt,
+         Handlers.BackendsAppliedVersion() >= update.BackendsVersion);
+}
+
 void PeerLink::updatePeer(const NodeUpdate &update, absl::Time now) {
   Peer &peer = Peers[update.Node];
   Roster.recordMessage(update.Node, now);
--- a/drivers/relay/peer_link.h
+++ b/drivers/relay/peer_link.h
@@ -32,8 +32,16 @@
       OnPeerBackendChanges;
   /// Requests a read of a topic from the store.
   std::function<void(core::platform::FleetTopic)> Refresh;
-  /// When the store last answered this node about a topic.
-  std::function<absl::Time(core::platform::FleetTopic)> StoreAnsweredAt;
+  /// When this node's latest calls of the store about a topic ended.
+  std::function<core::fleet::StoreCallTimes(core::platform::FleetTopic)>
+      StoreCalls;
+  /// Version of the store up to which this node has all changes of a topic.
+  std::function<uint64_t(core::platform::FleetTopic)> StoreVersion;
+  /// The store answered the sender of an update about a topic at a time, and
+  /// this node has all that the sender has.
+  std::function<void(core::platform::FleetTopic, absl::Time,
+                     const NodeUpdate &)>
+      OnPeerStoreAnswer;
   /// Version up to which all changes of the backend servers are applied.
   std::function<uint64_t()> BackendsAppliedVersion;
   /// Version of the newest change of the backend servers.
@@ -110,11 +118,25 @@
   void nodesRead(const std::vector<core::platform::NodeEntry> &nodes,
                  const std::vector<std::string> &cell, absl::Time now);
 
+  /// Queues an update that tells the cell that the store has answered this node
+  /// about \p topic, if the others may need it: not after a read that each node
+  /// of the cell makes.
+  void announceStoreAnswer(core::platform::FleetTopic topic);
+
+  /// Whether few nodes of the cell watch the store for all of them.
+  bool isWatchShared() const { return WatchPolicy.isWatchShared(); }
+
   /// Whether this node must watch \p topic at the store itself.
   bool shouldWatchStore(core::platform::FleetTopic topic,
                         absl::Time now) const {
-    return WatchPolicy.shouldWatchStore(topic, Handlers.StoreAnsweredAt(topic),
-                                        now);
+    return WatchPolicy.shouldWatchStore(
+        topic, Handlers.StoreCalls(topic).AnsweredAt, now);
+  }
+
+  /// Whether this node must read the changes of \p topic now, because nothing
+  /// shows that it has the newest; records that it does.
+  bool takeRead(core::platform::FleetTopic topic, absl::Time now) {
+    return WatchPolicy.takeRead(topic, Handlers.StoreCalls(topic), now);
   }
 
   /// Returns registered nodes that are gone and that this node should
@@ -141,6 +163,7 @@
 
   void receive(const std::string &bytes);
   void updatePeer(const NodeUpdate &update, absl::Time now);
+  void recordStoreAnswers(const NodeUpdate &update, absl::Time now);
   /// Reads the store or asks the sender if this node is behind it, and replies
   /// with the configuration if the sender asked for it.
   void catchUp(const NodeUpdate &update, absl::Time now);
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -36,7 +36,7 @@
 constexpr auto AbortTime = std::chrono::milliseconds(150);
 constexpr auto DrainPollInterval = std::chrono::milliseconds(50);
 constexpr auto MaintenanceInterval = std::chrono::seconds(1);
-constexpr auto WatchPolicyInterval = std::chrono::milliseconds(250);
+constexpr auto WatchPolicyInterval = std::chrono::milliseconds(100);
 /// File descriptors not used for calls: logs, timers, the event loop, peers.
 constexpr int64_t ReservedFiles = 256;
 /// Sessions of callers that are accepted however few file descriptors there
@@ -181,6 +181,10 @@
     });
     Guard.setHandlers(guardHandlers());
     View.setConfigChangedHandler([this] { Peers.announceConfig(); });
+    View.setStoreAnsweredHandler([this](FleetTopic topic) {
+      if (topic == FleetTopic::Config || topic == FleetTopic::Backends)
+        Peers.announceStoreAnswer(topic);
+    });
     View.setBackendsChangedHandler([this](uint64_t since, const auto &changes) {
       Peers.announceBackendChanges(since, changes);
     });
@@ -251,11 +255,31 @@
       timer.expires_after(WatchPolicyInterval);
       co_await timer.async_wait(AsTuple);
       const absl::Time now = drivers::clock::steadyNow();
-      for (const FleetTopic topic : {FleetTopic::Config, FleetTopic::Backends})
+      setStoreTimeouts();
+      for (const FleetTopic topic :
+           {FleetTopic::Config, FleetTopic::Backends}) {
         setWatching(topic, Peers.shouldWatchStore(topic, now));
+        if (Peers.takeRead(topic, now))
+          readStoreOnce(topic);
+      }
     }
   }
 
+  void readStoreOnce(FleetTopic topic) {
+    drivers::log::write(drivers::log::Level::Info, "store_read_alone",
+                        {{"topic", core::platform::fleetTopicName(topic)}});
+    Source.readChangesOnce(topic);
+  }
+
+  /// The watchers of a cell poll more often than nodes that each watch for
+  /// themselves.
+  void setStoreTimeouts() {
+    absl::Duration poll = milliseconds(Settings, "store.wait_ms");
+    if (Peers.isWatchShared())
+      poll = std::min(poll, core::fleet::StoreWatchPolicy::SharedPollTime);
+    Source.setTimeouts(poll, milliseconds(Settings, "store.bound_ms"));
+  }
+
   void setWatching(FleetTopic topic, bool shouldWatch) {
     if (!Source.setWatching(topic, shouldWatch))
       return;
@@ -281,8 +305,15 @@
       View.applyPeerChanges(since, std::move(changes));
     };
     handlers.Refresh = [this](FleetTopic topic) { Source.refresh(topic); };
-    handlers.StoreAnsweredAt = [this](FleetTopic topic) {
-      return View.storeAnsweredAt(topic);
+    handlers.StoreCalls = [this](FleetTopic topic) {
+      return View.storeCalls(topic);
+    };
+    handlers.StoreVersion = [this](FleetTopic topic) {
+      return Source.knownVersion(topic);
+    };
+    handlers.OnPeerStoreAnswer = [this](FleetTopic topic, absl::Time at,
+                                        const auto &update) {
+      peerAnswered(topic, at, update);
     };
     handlers.BackendsAppliedVersion = [this] {
       return View.backendsAppliedVersion();
@@ -319,6 +350,14 @@
     return handlers;
   }
 
+  void peerAnswered(FleetTopic topic, absl::Time at,
+                    const drivers::relay::NodeUpdate &update) {
+    View.recordPeerAnswer(topic, at, update.BackendsVersion);
+    Source.skipTo(topic, topic == FleetTopic::Config
+                             ? update.ConfigStoreVersion
+                             : update.BackendsStoreVersion);
+  }
+
   drivers::relay::PromptGuardHandlers guardHandlers() {
     drivers::relay::PromptGuardHandlers handlers;
     handlers.AnnounceCrash = [this](const core::relay::CrashReport &it) {
@@ -409,8 +448,7 @@
       (canReload(it) ? changed : needRestart).push_back(it);
     Settings = values;
     Calls.setRetryBudget(retrySettings(Settings));
-    Source.setTimeouts(milliseconds(Settings, "store.wait_ms"),
-                       milliseconds(Settings, "store.bound_ms"));
+    setStoreTimeouts();
     drivers::log::write(drivers::log::Level::Info, "reload",
                         {{"changed", changed}, {"need_restart", needRestart}});
   }
--- a/tests/core/test_store_watch_policy.cpp
+++ b/tests/core/test_store_watch_policy.cpp
@@ -160,8 +160,8 @@
   forEachSettledCell([](Cell &cell) {
     cell.IsStoreDown = true;
     cell.run(5'000, 16'000);
-    // Four calls per retry slot for 11 s, and a quarter more by chance.
-    CHECK(cell.FailedCalls <= 110);
+    // Two calls per retry slot for 11 s, and a quarter more by chance.
+    CHECK(cell.FailedCalls <= 55);
     cell.IsStoreDown = false;
     cell.run(16'000, 17'500);
     CHECK(cell.hasAnswerSince(16'000));
--- a/tests/platform/test_cell.cpp
+++ b/tests/platform/test_cell.cpp
@@ -1,5 +1,7 @@
+#include "core/fleet/store_watch_policy.h"
 #include "tests/support/relay_fixture.h"
 
+#include <algorithm>
 #include <csignal>
 #include <fmt/format.h>
 #include <memory>
@@ -15,8 +17,10 @@
 namespace {
 
 constexpr int CellNodeCount = 12;
-/// Equals core::fleet::StoreWatchPolicy::WatchersPerCell.
-constexpr int WatcherCount = 4;
+constexpr int WatcherCount = core::fleet::StoreWatchPolicy::WatchersPerCell;
+/// The users' bound from the store's confirmation of a change until every node
+/// that is connected follows it.
+constexpr int DeadlineMs = 2'000;
 
 /// Returns whether the node watches the configuration in the store, by the last
 /// line of its log that says so; true before there is one.
@@ -36,16 +40,19 @@
 
 TEST_GROUP(Cell) {
   std::vector<std::unique_ptr<RelayFixture>> nodes;
+  std::vector<std::unique_ptr<RelayFixture>> lost;
+  std::shared_ptr<lab::StoreServer> sharedStore;
 
   void setup() override {
     nodes.push_back(std::make_unique<RelayFixture>());
+    sharedStore = nodes.front()->SharedStore;
     nodes.front()->configure(1);
     for (int n = 2; n <= CellNodeCount; ++n)
       nodes.push_back(std::make_unique<RelayFixture>(*nodes.front(),
                                                      fmt::format("n{}", n)));
   }
 
-  lab::StoreServer &store() { return nodes.front()->Store; }
+  lab::StoreServer &store() { return *sharedStore; }
 
   void start() {
     for (const auto &it : nodes)
@@ -61,6 +68,18 @@
     return result;
   }
 
+  /// Sends \p signal to all watchers and takes them out of the test.
+  void loseWatchers(int signal) {
+    for (RelayFixture *it : watchers()) {
+      it->Process.signal(signal);
+      const auto own =
+          std::find_if(nodes.begin(), nodes.end(),
+                       [&](const auto &node) { return node.get() == it; });
+      lost.push_back(std::move(*own));
+      nodes.erase(own);
+    }
+  }
+
   /// Returns whether within \p ms all started nodes answer a call of \p path
   /// with \p status.
   bool allAnswer(const std::string &path, int status, int ms) {
@@ -127,6 +146,52 @@
   }));
 }
 
+// Guards against nodes that follow an old configuration until they notice that
+// all watchers are gone.
+TEST(Cell, ChangeIsInForceInTimeAlthoughAllWatchersAreKilled) {
+  StandInBackend backend(scripts::answer("hello"));
+  nodes.front()->listBackend("i-1", "plain", backend.address());
+  start();
+  for (int time = 1; time <= 2; ++time) {
+    loseWatchers(SIGKILL);
+    const std::string path = fmt::format("/new-{}/", time);
+    nodes.front()->configure(1 + time, path);
+    CHECK(allAnswer(path + "x", 200, DeadlineMs));
+    CHECK(within(5'000, [&] { return watchers().size() == WatcherCount; }));
+  }
+}
+
+TEST(Cell, ChangeIsInForceInTimeAlthoughAllWatchersAreFrozen) {
+  StandInBackend backend(scripts::answer("hello"));
+  nodes.front()->listBackend("i-1", "plain", backend.address());
+  start();
+  for (int time = 1; time <= 2; ++time) {
+    loseWatchers(SIGSTOP);
+    const std::string path = fmt::format("/new-{}/", time);
+    nodes.front()->configure(1 + time, path);
+    CHECK(allAnswer(path + "x", 200, DeadlineMs));
+    CHECK(within(5'000, [&] { return watchers().size() == WatcherCount; }));
+  }
+}
+
+// Guards against calls to a backend server that left while all watchers were
+// gone.
+TEST(Cell, UnlistedBackendIsDroppedInTimeAlthoughAllWatchersAreKilled) {
+  StandInBackend leaving(scripts::answer("leaving"));
+  StandInBackend staying(scripts::answer("staying"));
+  nodes.front()->listBackend("i-1", "plain", leaving.address());
+  nodes.front()->listBackend("i-2", "plain", staying.address());
+  start();
+  CHECK(allAnswer("/read/x", 200, 2'000));
+  loseWatchers(SIGKILL);
+  nodes.front()->unlistBackend("i-1");
+  std::this_thread::sleep_for(std::chrono::milliseconds(DeadlineMs));
+  const int count = leaving.attempts();
+  for (int n = 0; n < 5; ++n)
+    CHECK(allAnswer("/read/x", 200, 1'000));
+  LONGS_EQUAL(count, leaving.attempts());
+}
+
 TEST(Cell, AllNodesRecoverFromStoreOutage) {
   StandInBackend backend(scripts::answer("hello"));
   nodes.front()->listBackend("i-1", "plain", backend.address());
