Start nodes whose name or zone can't be read

Change: the address for traffic between nodes, which is unique as well, stands in for a name that can't be read, as the default does for a zone and a region.

Evidence: platform.EntrySettings NamesThatCanNotBeReadAreReplaced; before, such a file had an error for node.name ("required key is missing").

--- a/main/entry_settings.cpp
+++ b/main/entry_settings.cpp
@@ -18,8 +18,8 @@
 using core::fields::FieldValues;
 
 constexpr std::array<FieldSpec, 18> Specs = {{
-    {"node.name", FieldType::Text, "", "", 1, 128, "",
-     "Unique name of this VM."},
+    {"node.name", FieldType::Text, "", "\"\"", 0, 128, "",
+     "Unique name of this VM; peers.address if empty."},
     {"node.zone", FieldType::Text, "", "\"default\"", 1, 128, "",
      "Availability zone of this VM."},
     {"node.region", FieldType::Text, "", "\"default\"", 1, 128, "",
@@ -86,6 +86,8 @@
         BOOST_LEAF_AUTO(fields,
                         entryFields().readTolerantly(flat.Object, known));
         result.Values = std::move(fields.Values);
+        if (result.Values.text("node.name").empty())
+          result.Values.set("node.name", result.Values.text("peers.address"));
         for (const FieldError &it : fields.Rejected)
           result.Rejected.push_back(errorFor(it));
         return result;
--- a/tests/platform/test_entry_settings.cpp
+++ b/tests/platform/test_entry_settings.cpp
@@ -296,6 +296,18 @@
   }
 }
 
+// Guards against names that a template doesn't escape.
+TEST(EntrySettings, NamesThatCanNotBeReadAreReplaced) {
+  Placeholders values = usualValues();
+  values["node"] = "a\"b";
+  values["zone"] = "a\\qb";
+  values["region"] = "";
+  const nlohmann::json settings = settingsIn(filledTemplate(values));
+  STRCMP_EQUAL("127.0.0.1:7340", settings.value("node.name", "").c_str());
+  STRCMP_EQUAL("default", settings.value("node.zone", "").c_str());
+  STRCMP_EQUAL("default", settings.value("node.region", "").c_str());
+}
+
 TEST(EntrySettings, RequiredSettingsAreNamedWhenTheyAreMissing) {
   Placeholders values = usualValues();
   values["listen.front"] = "a\"b";
