Bound the time until a node retries a failed read of the store

A node that reaches the store again while the others of its cell are still cut from it gets a slot once in N/4 seconds on average, so it could follow an old configuration for longer than 2 s. Found by reading, shown by a test.

Ruled out: telling nodes of others' failures, since they may be cut off alone.

Change: the next read begins 2.5 s after one that failed or was slow, less than the 3 s for which the users' bounds don't hold after a trouble.

--- a/core/fleet/store_watch_policy.cpp
+++ b/core/fleet/store_watch_policy.cpp
@@ -105,22 +105,30 @@
   return delay;
 }
 
+void StoreWatchPolicy::endRead(TopicState &state, const StoreCallTimes &own) {
+  const bool isQuick = own.AnsweredAt >= state.ReadingSince &&
+                       own.AnsweredAt - state.ReadingSince <= SlowAnswerTime;
+  if (!isQuick)
+    state.NextReadAt = state.ReadingSince + RetryInterval;
+  state.ReadingSince = absl::InfinitePast();
+}
+
 bool StoreWatchPolicy::takeRead(platform::FleetTopic topic,
                                 const StoreCallTimes &own, absl::Time now) {
   TopicState &state = Topics[static_cast<size_t>(topic)];
-  const absl::Time endedAt = std::max(own.AnsweredAt, own.FailedAt);
-  if (endedAt < state.ReadingSince)
-    return false;
-  if (state.ReadingSince != absl::InfinitePast() &&
-      endedAt - state.ReadingSince > SlowAnswerTime)
-    state.PausedUntil = endedAt + SlowAnswerPause;
-  state.ReadingSince = absl::InfinitePast();
+  if (isReading(topic)) {
+    if (std::max(own.AnsweredAt, own.FailedAt) < state.ReadingSince)
+      return false;
+    endRead(state, own);
+  }
   const absl::Time current = std::max(own.AnsweredAt, state.CurrentAt);
   // A node that was never current is still in its first read.
-  if (current == absl::InfinitePast() || own.FailedAt > current ||
-      now < state.PausedUntil || now - current < CurrentMaxAge ||
+  const bool mayRead =
+      current != absl::InfinitePast() && now >= state.NextReadAt;
+  const absl::Duration age = now - current;
+  if (!mayRead || age < CurrentMaxAge ||
       shouldWatchStore(topic, own.AnsweredAt, now) ||
-      now - current < CurrentMaxAge + readDelay(topic, now))
+      age < CurrentMaxAge + readDelay(topic, now))
     return false;
   state.ReadingSince = now;
   return true;
--- a/core/fleet/store_watch_policy.h
+++ b/core/fleet/store_watch_policy.h
@@ -63,10 +63,12 @@
   /// Longest delay of a group; with CurrentMaxAge and one read, less than the
   /// time within which a change must be in force (2 s).
   static constexpr absl::Duration MaxReadDelay = absl::Milliseconds(400);
-  /// After a read that took longer than SlowAnswerTime, a node makes no further
-  /// one for SlowAnswerPause: a slow store would get one from every node.
+  /// A read that took longer than this was slow.
   static constexpr absl::Duration SlowAnswerTime = absl::Milliseconds(500);
-  static constexpr absl::Duration SlowAnswerPause = absl::Milliseconds(2500);
+  /// Time from a read that failed or was slow until the next one, because a
+  /// store in trouble gets them from every node. Less than the time for which
+  /// the users' bounds don't hold after a trouble (3 s).
+  static constexpr absl::Duration RetryInterval = absl::Milliseconds(2500);
 
   explicit StoreWatchPolicy(std::string self) : Self(std::move(self)) {}
 
@@ -95,8 +97,7 @@
 
   /// Returns whether this node, whose calls of the store about \p topic ended
   /// at \p own, must now read the changes of the topic once, and records that
-  /// it does. False for a node that watches the store, and after a failed read
-  /// until another node's answer: shouldWatchStore() then spreads the retries.
+  /// it does. False for a node that watches the store.
   bool takeRead(platform::FleetTopic topic, const StoreCallTimes &own,
                 absl::Time now);
 
@@ -127,13 +128,14 @@
     absl::Time CurrentAt = absl::InfinitePast();
     /// When a read began that hasn't ended; infinite past for none.
     absl::Time ReadingSince = absl::InfinitePast();
-    absl::Time PausedUntil = absl::InfinitePast();
+    absl::Time NextReadAt = absl::InfinitePast();
   };
 
   WatchCounts countWatchers(platform::FleetTopic topic, absl::Time now) const;
   bool isDrawnToRetry(size_t missing, size_t candidates,
                       platform::FleetTopic topic, absl::Time now) const;
   absl::Duration readDelay(platform::FleetTopic topic, absl::Time now) const;
+  static void endRead(TopicState &state, const StoreCallTimes &own);
 
   std::string Self;
   uint64_t SelfHash = 0;
