--- a/core/fleet/backend_directory.cpp
+++ b/core/fleet/backend_directory.cpp
@@ -125,8 +125,8 @@
   rebuildIndex();
 }
 
-void BackendDirectory::replace(std::vector<BackendEntry> entries,
-                               absl::Time now) {
+std::vector<std::string>
+BackendDirectory::replace(std::vector<BackendEntry> entries, absl::Time now) {
   IsRead = true;
   absl::flat_hash_set<std::string> listed;
   for (BackendEntry &it : entries) {
@@ -140,6 +140,7 @@
   for (const std::string &id : missing)
     removeWithoutRebuild(id, now);
   rebuildIndexIfStale();
+  return missing;
 }
 
 void BackendDirectory::setListUnavailable(absl::Time /*now*/) {
--- a/core/fleet/backend_directory.h
+++ b/core/fleet/backend_directory.h
@@ -89,8 +89,10 @@
   /// The partition of the fleet and this node's cell.
   const CellPlan &cell() const { return Plan; }
 
-  /// Replaces all entries by a snapshot of the list.
-  void replace(std::vector<BackendEntry> entries, absl::Time now);
+  /// Replaces all entries by a snapshot of the list. Returns the ids of those
+  /// that it lacks.
+  std::vector<std::string> replace(std::vector<BackendEntry> entries,
+                                   absl::Time now);
 
   /// Records that the list can't be reached, or that it answered. Repeated
   /// calls have no effect.
--- a/drivers/relay/fleet_view.cpp
+++ b/drivers/relay/fleet_view.cpp
@@ -15,6 +15,12 @@
 using core::fleet::DirectoryChange;
 using core::platform::FleetTopic;
 
+namespace {
+/// A snapshot with more changes than this isn't announced: after a restore of
+/// the store they may be the whole list.
+constexpr size_t MaxAnnouncedChanges = 100;
+} // namespace
+
 void FleetView::configRead(
     std::shared_ptr<const core::routes::RoutingConfig> config) {
   const auto &known = Context.Dispatcher.config();
@@ -34,9 +40,13 @@
 void FleetView::backendsRead(std::vector<BackendEntry> entries,
                              uint64_t version) {
   uint64_t newest = 0;
-  for (const BackendEntry &it : entries)
-    newest = std::max(newest, it.RowVersion);
+  std::vector<BackendEntry> changed;
   const uint64_t before = ListVersions.appliedVersion();
+  for (const BackendEntry &it : entries) {
+    newest = std::max(newest, it.RowVersion);
+    if (before > 0 && it.RowVersion > before)
+      changed.push_back(it);
+  }
   const bool isApplied = ListVersions.acceptSnapshot(version, newest);
   log::write(log::Level::Info, "backends_read_whole",
              {{"listed", entries.size()},
@@ -46,13 +56,51 @@
               {"taken", isApplied}});
   if (!isApplied)
     return;
-  Context.Dispatcher.directory().replace(std::move(entries),
-                                         clock::steadyNow());
+  const std::vector<std::string> missing =
+      Context.Dispatcher.directory().replace(std::move(entries),
+                                             clock::steadyNow());
+  if (!missing.empty())
+    announceSnapshot(before, version, std::move(changed), missing);
   Context.Metrics.setBackends(
       static_cast<int64_t>(Context.Dispatcher.directory().size()));
   openStartGateIfReady();
 }
 
+void FleetView::announceSnapshot(uint64_t since, uint64_t version,
+                                 std::vector<BackendEntry> changed,
+                                 const std::vector<std::string> &missing) {
+  if (!OnBackendsChanged || !IsSnapshotAnnounced || !IsSnapshotAnnounced())
+    return;
+  // A node that gets no announcement is behind this version, and reads the
+  // list.
+  ListVersions.recordApplied(version);
+  if (changed.size() + missing.size() > MaxAnnouncedChanges)
+    return;
+  std::sort(changed.begin(), changed.end(),
+            [](const BackendEntry &left, const BackendEntry &right) {
+              return left.RowVersion < right.RowVersion;
+            });
+  std::vector<BackendChange> changes;
+  for (BackendEntry &it : changed) {
+    changes.emplace_back();
+    changes.back().Entry = std::move(it);
+  }
+  for (const std::string &id : missing) {
+    changes.emplace_back();
+    changes.back().Entry.Id = id;
+    changes.back().Entry.RowVersion = version;
+    changes.back().Removed = true;
+    setExpiry(changes.back());
+  }
+  OnBackendsChanged(since, changes);
+}
+
+void FleetView::setExpiry(BackendChange &change) const {
+  const auto kept = Context.Dispatcher.directory().find(change.Entry.Id);
+  if (change.Removed && kept != nullptr)
+    change.ExpiresIn = kept->ExpiresAt - clock::steadyNow();
+}
+
 void FleetView::openStartGateIfReady() {
   if (Context.Dispatcher.isInitialized())
     Context.Gate.open();
@@ -75,7 +123,6 @@
 void FleetView::applyNewChanges(std::vector<BackendChange> &changes,
                                 ChangeSource source) {
   const absl::Time now = clock::steadyNow();
-  core::fleet::BackendDirectory &directory = Context.Dispatcher.directory();
   for (BackendChange &it : changes) {
     const bool isNew = ListVersions.isNew(it.Entry.RowVersion);
     if (isNew)
@@ -83,10 +130,7 @@
     // A removal is applied again: another node may report an earlier expiry.
     if (isNew || it.Removed)
       apply(it, source, now);
-    // Nodes that get the change from this one must not drop the entry sooner.
-    const auto kept = directory.find(it.Entry.Id);
-    if (it.Removed && kept != nullptr)
-      it.ExpiresIn = kept->ExpiresAt - now;
+    setExpiry(it);
   }
 }
 
--- a/drivers/relay/fleet_view.h
+++ b/drivers/relay/fleet_view.h
@@ -66,6 +66,13 @@
     OnBackendsChanged = std::move(handler);
   }
 
+  /// \p predicate returns whether other nodes rely on what this node reads
+  /// about the backend servers. It then also announces removals that a snapshot
+  /// shows: they don't change the version of any row.
+  void setSnapshotAnnounced(std::function<bool()> predicate) {
+    IsSnapshotAnnounced = std::move(predicate);
+  }
+
   /// Applies changes that a peer announced, all those after version \p since.
   /// Ignores them if this node lacks earlier ones.
   void applyPeerChanges(uint64_t since,
@@ -119,6 +126,15 @@
   void apply(const core::fleet::BackendChange &change,
              core::fleet::ChangeSource source, absl::Time now);
 
+  /// Announces that a snapshot of \p version lacks the entries \p missing and
+  /// has \p changed, the entries that are newer than version \p since.
+  void announceSnapshot(uint64_t since, uint64_t version,
+                        std::vector<core::fleet::BackendEntry> changed,
+                        const std::vector<std::string> &missing);
+  /// Sets how long the entry of a removal is still kept: nodes that get the
+  /// change from this one must not drop it sooner.
+  void setExpiry(core::fleet::BackendChange &change) const;
+
   void logBackendChange(const core::fleet::BackendEntry &entry,
                         core::fleet::DirectoryChange change);
 
@@ -130,6 +146,7 @@
   std::function<void(core::platform::FleetTopic)> OnStoreAnswered;
   std::function<void(uint64_t, const std::vector<core::fleet::BackendChange> &)>
       OnBackendsChanged;
+  std::function<bool()> IsSnapshotAnnounced;
   core::fleet::BackendListVersions ListVersions;
   std::array<TopicState, core::platform::FleetTopicCount> TopicStates;
 };
--- a/drivers/relay/peer_link.cpp
+++ b/drivers/relay/peer_link.cpp
@@ -183,11 +183,14 @@
     flushWithin(SentFlushDelay);
 }
 
+bool PeerLink::readsForCell(FleetTopic topic) const {
+  return WatchPolicy.isWatchShared() &&
+         (WatchPolicy.isReading(topic) ||
+          shouldWatchStore(topic, clock::steadyNow()));
+}
+
 void PeerLink::announceStoreAnswer(FleetTopic topic) {
-  if (!WatchPolicy.isWatchShared())
-    return;
-  if (WatchPolicy.isReading(topic) ||
-      shouldWatchStore(topic, clock::steadyNow()))
+  if (readsForCell(topic))
     flushWithin(StoreAnswerFlushDelay);
 }
 
--- a/drivers/relay/peer_link.h
+++ b/drivers/relay/peer_link.h
@@ -119,10 +119,13 @@
                  const std::vector<std::string> &cell, absl::Time now);
 
   /// Queues an update that tells the cell that the store has answered this node
-  /// about \p topic, if the others may need it: not after a read that each node
-  /// of the cell makes.
+  /// about \p topic, if it reads for the cell.
   void announceStoreAnswer(core::platform::FleetTopic topic);
 
+  /// Whether other nodes of the cell rely on what this node reads from the
+  /// store about \p topic now.
+  bool readsForCell(core::platform::FleetTopic topic) const;
+
   /// Whether few nodes of the cell watch the store for all of them.
   bool isWatchShared() const { return WatchPolicy.isWatchShared(); }
 
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -188,6 +188,8 @@
     View.setBackendsChangedHandler([this](uint64_t since, const auto &changes) {
       Peers.announceBackendChanges(since, changes);
     });
+    View.setSnapshotAnnounced(
+        [this] { return Peers.readsForCell(FleetTopic::Backends); });
     View.setPeerKeyHandler(
         [this](const std::string &key) { return joinPeers(key); });
     View.setNodesReadHandler([this](const auto &nodes) { nodesRead(nodes); });
--- a/tests/platform/test_cell.cpp
+++ b/tests/platform/test_cell.cpp
@@ -192,6 +192,29 @@
   LONGS_EQUAL(count, leaving.attempts());
 }
 
+// Guards against calls to a backend server whose removal the watchers only see
+// in a snapshot, because the store has forgotten its history.
+TEST(Cell, RemovalThatIsNotInTheHistoryReachesAllNodes) {
+  StandInBackend leaving(scripts::answer("leaving"));
+  StandInBackend staying(scripts::answer("staying"));
+  nodes.front()->listBackend("i-1", "plain", leaving.address());
+  nodes.front()->listBackend("i-2", "plain", staying.address());
+  start();
+  CHECK(allAnswer("/read/x", 200, 2'000));
+  // Shorter than the time after which other nodes read the store themselves.
+  store().setFault(lab::StoreFault::Refuse);
+  std::this_thread::sleep_for(std::chrono::milliseconds(400));
+  nodes.front()->unlistBackend("i-1");
+  store().compact();
+  store().setFault(lab::StoreFault::None);
+  // After an outage, entries have two seconds to come back.
+  std::this_thread::sleep_for(std::chrono::milliseconds(DeadlineMs + 3'000));
+  const int count = leaving.attempts();
+  for (int n = 0; n < 5; ++n)
+    CHECK(allAnswer("/read/x", 200, 1'000));
+  LONGS_EQUAL(count, leaving.attempts());
+}
+
 TEST(Cell, AllNodesRecoverFromStoreOutage) {
   StandInBackend backend(scripts::answer("hello"));
   nodes.front()->listBackend("i-1", "plain", backend.address());
