--- a/tests/platform/test_cell.cpp
+++ b/tests/platform/test_cell.cpp
@@ -90,6 +90,21 @@
       return true;
     });
   }
+
+  /// Twice in a row, sends \p signal to all watchers just before a change, and
+  /// checks that the other nodes follow it in time and replace the watchers.
+  void checkChangesWithoutWatchers(int signal) {
+    StandInBackend backend(scripts::answer("hello"));
+    nodes.front()->listBackend("i-1", "plain", backend.address());
+    start();
+    for (int time = 1; time <= 2; ++time) {
+      loseWatchers(signal);
+      const std::string path = fmt::format("/new-{}/", time);
+      nodes.front()->configure(1 + time, path);
+      CHECK(allAnswer(path + "x", 200, DeadlineMs));
+      CHECK(within(5'000, [&] { return watchers().size() == WatcherCount; }));
+    }
+  }
 };
 
 TEST(Cell, WatchersAnnounceStoreChangesToOtherNodes) {
@@ -149,29 +164,11 @@
 // Guards against nodes that follow an old configuration until they notice that
 // all watchers are gone.
 TEST(Cell, ChangeIsInForceInTimeAlthoughAllWatchersAreKilled) {
-  StandInBackend backend(scripts::answer("hello"));
-  nodes.front()->listBackend("i-1", "plain", backend.address());
-  start();
-  for (int time = 1; time <= 2; ++time) {
-    loseWatchers(SIGKILL);
-    const std::string path = fmt::format("/new-{}/", time);
-    nodes.front()->configure(1 + time, path);
-    CHECK(allAnswer(path + "x", 200, DeadlineMs));
-    CHECK(within(5'000, [&] { return watchers().size() == WatcherCount; }));
-  }
+  checkChangesWithoutWatchers(SIGKILL);
 }
 
 TEST(Cell, ChangeIsInForceInTimeAlthoughAllWatchersAreFrozen) {
-  StandInBackend backend(scripts::answer("hello"));
-  nodes.front()->listBackend("i-1", "plain", backend.address());
-  start();
-  for (int time = 1; time <= 2; ++time) {
-    loseWatchers(SIGSTOP);
-    const std::string path = fmt::format("/new-{}/", time);
-    nodes.front()->configure(1 + time, path);
-    CHECK(allAnswer(path + "x", 200, DeadlineMs));
-    CHECK(within(5'000, [&] { return watchers().size() == WatcherCount; }));
-  }
+  checkChangesWithoutWatchers(SIGSTOP);
 }
 
 // Guards against calls to a backend server that left while all watchers were
