Log whether an answer was whole and which requests had none

Not told by the log so far: whether an answer was written to its end, that a request had arrived in part when its connection ended, and that connections had unread requests when the process ended. call has whole, and there are request_incomplete and connections_closed. The fixture's timeout of plain routes can be set.

--- a/drivers/relay/call_runner.cpp
+++ b/drivers/relay/call_runner.cpp
@@ -114,9 +114,10 @@
     Progress.Deadline = absl::InfiniteFuture();
     step(CallStep::AnswerReady);
     const bool isWritten = co_await writePlain();
+    IsAnswerWhole = isWritten;
     KeepCallerOpen = KeepCallerOpen && isWritten;
   }
-  if (Progress.Delivered && !IsStreamFinished &&
+  if (Progress.Delivered && !IsAnswerWhole &&
       Request.version() < FirstChunkedVersion)
     loop::resetConnection(Caller);
   step(CallStep::Settled);
@@ -700,11 +701,11 @@
   if (Request.version() >= FirstChunkedVersion) {
     const auto [ec, n] =
         co_await asio::async_write(Caller, bhttp::make_chunk_last(), AsTuple);
-    IsStreamFinished = !ec;
+    IsAnswerWhole = !ec;
   } else {
-    IsStreamFinished = true;
+    IsAnswerWhole = true;
   }
-  co_return IsStreamFinished;
+  co_return IsAnswerWhole;
 }
 
 asio::awaitable<bool> CallRunner::writePlain() {
@@ -876,6 +877,7 @@
       {"prompt", Head.PromptTokens},
       {"parts", Head.PromptParts},
       {"status", Status},
+      {"whole", IsAnswerWhole},
       {"first_ms", absl::ToInt64Milliseconds(FirstEventAfter)},
       {"gap_ms", absl::ToInt64Milliseconds(LongestGap)},
       {"ms", absl::ToInt64Milliseconds(took)},
--- a/drivers/relay/call_runner.h
+++ b/drivers/relay/call_runner.h
@@ -178,8 +178,8 @@
   /// from the budget.
   bool IsRetryCharged = false;
   bool KeepCallerOpen = true;
-  /// Whether the stream was written to the caller up to its end.
-  bool IsStreamFinished = false;
+  /// Whether the answer was written to the caller up to its end.
+  bool IsAnswerWhole = false;
 
   /// The answer to write at the end unless a stream is delivered: a backend
   /// server's complete answer or this node's own error.
--- a/drivers/relay/caller_session.cpp
+++ b/drivers/relay/caller_session.cpp
@@ -77,7 +77,9 @@
       co_return false;
     }
   }
+  IsReading = true;
   std::optional<CallRequest> request = co_await readRequest(limits);
+  IsReading = false;
   if (!request.has_value())
     co_return false;
   Stream.expires_never();
@@ -101,6 +103,11 @@
     Stream.close();
 }
 
+bool CallerSession::hasUnansweredRequest() {
+  boost::system::error_code ec;
+  return IsReading || Buffer.size() > 0 || Stream.socket().available(ec) > 0;
+}
+
 void CallerSession::abortCall() {
   if (const auto runner = Running.lock())
     runner->giveUp();
@@ -133,8 +140,11 @@
 
 asio::awaitable<void> CallerSession::reject(boost::system::error_code ec) {
   const std::optional<bhttp::status> status = rejectionStatus(ec);
-  if (!status.has_value())
+  if (!status.has_value()) {
+    log::write(log::Level::Info, "request_incomplete",
+               {{"reason", ec.message()}, {"unparsed_bytes", Buffer.size()}});
     co_return;
+  }
   log::write(log::Level::Info, "call_rejected",
              {{"status", static_cast<int>(*status)}, {"reason", ec.message()}});
   bhttp::response<bhttp::string_body> response(*status, 11);
--- a/drivers/relay/caller_session.h
+++ b/drivers/relay/caller_session.h
@@ -20,6 +20,9 @@
   /// Closes the connection unless a call is in progress or has begun to arrive.
   void closeIfIdle();
 
+  /// Whether bytes of a request have arrived that no call answers yet.
+  bool hasUnansweredRequest();
+
   /// Ends the call in progress, if there is one.
   void abortCall();
 
@@ -37,6 +40,8 @@
   std::weak_ptr<CallRunner> Running;
   /// Whether the connection waits for the next call.
   bool Idle = false;
+  /// Whether a request has arrived in part.
+  bool IsReading = false;
 };
 
 } // namespace orioletally::drivers::relay
--- a/drivers/relay/relay_server.cpp
+++ b/drivers/relay/relay_server.cpp
@@ -2,6 +2,7 @@
 
 #include "drivers/log/log.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace leaf = boost::leaf;
@@ -37,6 +38,12 @@
     it->abortCall();
 }
 
+size_t RelayServer::unansweredRequests() const {
+  return static_cast<size_t>(
+      std::count_if(Sessions.begin(), Sessions.end(),
+                    [](const auto &it) { return it->hasUnansweredRequest(); }));
+}
+
 void RelayServer::stopAccepting() {
   if (Listener != nullptr)
     Listener->close();
--- a/drivers/relay/relay_server.h
+++ b/drivers/relay/relay_server.h
@@ -30,6 +30,10 @@
   /// whose answer hasn't begun get an error.
   void abortCalls();
 
+  /// Returns how many connections have received bytes of a request that no call
+  /// answers yet.
+  size_t unansweredRequests() const;
+
   /// Stops accepting connections; open ones stay.
   void stopAccepting();
 
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -493,6 +493,8 @@
     IsCleanExit = Context.InProgress == 0;
     Server.stopAccepting();
     co_await endCalls(timer);
+    drivers::log::write(drivers::log::Level::Info, "connections_closed",
+                        {{"unanswered", Server.unansweredRequests()}});
     Guard.stop();
     Source.stop();
     Peers.stop();
--- a/tests/support/relay_fixture.h
+++ b/tests/support/relay_fixture.h
@@ -115,6 +115,8 @@
   std::string CallsAddress;
   std::string ReadinessAddress;
   std::string PeersAddress;
+  /// Timeout of the routes for plain calls that configure() writes.
+  int PlainTimeoutMs = 1'000;
 };
 
 /// Waits up to \p ms until \p condition is true; returns whether it became
