Keep a silent attempt open beside the one that follows it

Cause: after a silence of 1.2 s (or 1.5 times the objective of a plain call) the attempt was closed before another had anything to deliver. When the other backend server refused, failed or closed, nothing was left.

Now silence begins another attempt beside the silent one, and the first with a whole event or a whole plain answer ends the others. An attempt is an object of its own (AttemptRunner) with its own state chart; what is written to the caller is in AnswerWriter; CallRunner decides between attempts by core/relay. A memory lease that is released while it is being acquired ends at once.

Ruled out: a longer timeout, which would leave callers of dead servers without an answer in their two seconds.

--- a/charts/embedded_charts.h
+++ b/charts/embedded_charts.h
@@ -13,6 +13,9 @@
 /// Parses charts/call.toml, which the build embeds.
 boost::leaf::result<core::charts::StateChart> callChart();
 
+/// Parses charts/attempt.toml, which the build embeds.
+boost::leaf::result<core::charts::StateChart> attemptChart();
+
 } // namespace orioletally::charts
 
 #endif
--- a/core/charts/state_chart.cpp
+++ b/core/charts/state_chart.cpp
@@ -116,6 +116,16 @@
   return result;
 }
 
+leaf::result<void> StateChart::checkTimeouts(std::string_view chart,
+                                             Names timeouts) const {
+  for (const ChartState &it : States)
+    if (indexOf(timeouts, it.Timeout) < 0)
+      return leaf::new_error(ChartError{
+          std::string(chart),
+          fmt::format("state {}: unknown timeout {}", it.Name, it.Timeout)});
+  return {};
+}
+
 int StateChart::next(int state, int event) const {
   return States[state].Targets[event];
 }
--- a/core/charts/state_chart.h
+++ b/core/charts/state_chart.h
@@ -2,6 +2,7 @@
 #define ORIOLETALLY_CORE_CHARTS_STATE_CHART_H
 
 #include <absl/types/span.h>
+#include <algorithm>
 #include <boost/leaf.hpp>
 #include <string>
 #include <string_view>
@@ -38,6 +39,12 @@
         absl::Span<const std::string_view> states,
         absl::Span<const std::string_view> events);
 
+  /// Fails with a ChartError if a state has a timeout that isn't one of
+  /// \p timeouts; \p chart names the chart in the error.
+  boost::leaf::result<void>
+  checkTimeouts(std::string_view chart,
+                absl::Span<const std::string_view> timeouts) const;
+
   int initial() const { return InitialState; }
   bool isFinal(int state) const { return States[state].Final; }
   const std::string &timeout(int state) const { return States[state].Timeout; }
@@ -59,7 +66,14 @@
 
   State state() const { return static_cast<State>(Current); }
   bool isFinal() const { return Chart->isFinal(Current); }
-  const std::string &timeout() const { return Chart->timeout(Current); }
+
+  /// Returns the index of the present state's timeout in \p timeouts, which the
+  /// chart was checked with.
+  size_t timeoutIn(absl::Span<const std::string_view> timeouts) const {
+    const auto found =
+        std::find(timeouts.begin(), timeouts.end(), Chart->timeout(Current));
+    return static_cast<size_t>(found - timeouts.begin());
+  }
 
   /// Moves to the state that follows \p event. Returns false if the current
   /// state ignores the event.
--- a/core/relay/attempt_policy.cpp
+++ b/core/relay/attempt_policy.cpp
@@ -7,10 +7,10 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 11> EndNames = {
-    "answered", "failed",      "refused",    "wrong_backend",
-    "not_sent", "no_memory",   "broken",     "stalled",
-    "garbled",  "out_of_time", "caller_gone"};
+constexpr std::array<std::string_view, 12> EndNames = {
+    "answered", "failed",      "refused",     "wrong_backend",
+    "not_sent", "no_memory",   "broken",      "stalled",
+    "garbled",  "out_of_time", "caller_gone", "superseded"};
 
 /// No attempt is retried with less time than this before the deadline: about
 /// one round trip between availability zones and the work of a short call.
@@ -20,6 +20,12 @@
   return route.mayRepeat() || !mayHaveRun(end);
 }
 
+bool mayBeginAttempt(const routes::Route &route, const CallProgress &progress,
+                     absl::Time now) {
+  return !progress.IsAnswering && now + MinRetryTime < progress.Deadline &&
+         progress.Sent + progress.InProgress < route.MaxAttempts;
+}
+
 } // namespace
 
 std::string_view attemptEndName(AttemptEnd end) {
@@ -58,14 +64,15 @@
 
 NextStep nextStep(const routes::Route &route, const CallProgress &progress,
                   AttemptEnd end, absl::Time now) {
-  const bool isTimely = now + MinRetryTime < progress.Deadline;
   const bool isOver = end == AttemptEnd::OutOfTime ||
                       end == AttemptEnd::CallerGone ||
                       end == AttemptEnd::Answered;
-  const bool canRetry = !isOver && isTimely && isSafeToResend(route, end) &&
-                        progress.Sent < route.MaxAttempts;
+  const bool canRetry = !isOver && isSafeToResend(route, end) &&
+                        mayBeginAttempt(route, progress, now);
   if (canRetry)
     return NextStep::Retry;
+  if (!isOver && progress.InProgress > 0)
+    return NextStep::Wait;
   if (progress.Delivered)
     return end == AttemptEnd::Answered ? NextStep::ForwardAnswer
                                        : NextStep::AbortAnswer;
@@ -74,6 +81,11 @@
   return NextStep::GiveUp;
 }
 
+bool mayOverlap(const routes::Route &route, const CallProgress &progress,
+                absl::Time now) {
+  return route.mayRepeat() && mayBeginAttempt(route, progress, now);
+}
+
 errors::RequestError giveUpError(const CallProgress &progress, AttemptEnd end,
                                  absl::Duration retryAfter) {
   using errors::ErrorCode;
--- a/core/relay/attempt_policy.h
+++ b/core/relay/attempt_policy.h
@@ -30,7 +30,8 @@
   /// The connection broke after the call was written, or the stream ended
   /// inside an event.
   Broken,
-  /// No byte arrived within the silence timeout.
+  /// No event or answer arrived within the silence timeout, and another
+  /// attempt was answered first.
   Stalled,
   /// The received bytes aren't an answer to this call.
   Garbled,
@@ -38,6 +39,8 @@
   OutOfTime,
   /// The caller has disconnected.
   CallerGone,
+  /// Another attempt at the same call was answered first.
+  Superseded,
 };
 
 /// Returns the name of \p end in logs and metrics.
@@ -56,6 +59,10 @@
   int64_t Sent = 0;
   /// Whether any of them may have executed it.
   bool MayHaveRun = false;
+  /// Number of attempts in progress.
+  int64_t InProgress = 0;
+  /// Whether one of those may still be answered in time; the others are silent.
+  bool IsAnswering = false;
   /// Whether bytes of an answer have been written to the caller.
   bool Delivered = false;
   absl::Time Deadline;
@@ -65,6 +72,8 @@
 enum class NextStep {
   /// Try another backend server.
   Retry,
+  /// Wait for the attempts that are still in progress.
+  Wait,
   /// Write the backend server's answer to the caller.
   ForwardAnswer,
   /// Write this node's own error to the caller.
@@ -74,10 +83,16 @@
 };
 
 /// Returns what to do after an attempt at a call of \p route ended in \p end.
+/// \p progress counts that attempt as sent, no longer as in progress.
 /// Doesn't consider the retry budget.
 NextStep nextStep(const routes::Route &route, const CallProgress &progress,
                   AttemptEnd end, absl::Time now);
 
+/// Whether another attempt at a call of \p route may begin beside those in
+/// progress, because one of them is silent. Doesn't consider the retry budget.
+bool mayOverlap(const routes::Route &route, const CallProgress &progress,
+                absl::Time now);
+
 /// Returns the error that ends a call without an answer. It reports "not run"
 /// only if no attempt may have been executed.
 errors::RequestError giveUpError(const CallProgress &progress, AttemptEnd end,
--- a/core/relay/call_lifecycle.h
+++ b/core/relay/call_lifecycle.h
@@ -9,29 +9,13 @@
 namespace orioletally::core::relay {
 
 /// States of a relayed call; charts/call.toml defines the transitions.
-enum class CallState {
-  Choosing,
-  Opening,
-  Waiting,
-  Forwarding,
-  Streaming,
-  Delivering,
-  Ended,
-};
+enum class CallState { Choosing, Attempting, Delivering, Ended };
 
 /// Events that move a relayed call from one state to another.
-enum class CallStep {
-  Chosen,
-  Sent,
-  EventsReady,
-  EventsTaken,
-  AttemptEnded,
-  AnswerReady,
-  Settled,
-};
+enum class CallStep { Chosen, AttemptsEnded, AnswerReady, Settled };
 
 /// The timeout that limits the time in a state.
-enum class CallTimeout { None, TimeLimit, Connect, Silence, CallerWrite };
+enum class CallTimeout { None, TimeLimit, CallerWrite };
 
 /// Names of the states and steps in the chart, by enumerator.
 absl::Span<const std::string_view> callStateNames();
--- a/core/relay/silence_timeout.h
+++ b/core/relay/silence_timeout.h
@@ -7,8 +7,8 @@
 
 namespace orioletally::core::relay {
 
-/// Returns how long an attempt at a call of \p route may receive no first byte
-/// before it counts as stalled and the call is retried. Infinite if the call
+/// Returns how long an attempt at a call of \p route may receive no first event
+/// before it is doubted and another may begin beside it. Infinite if the call
 /// may not be repeated. \p predicted is the predicted time to the first event,
 /// zero for plain services.
 ///
@@ -25,7 +25,7 @@
                       absl::Duration sinceLastByte);
 
 /// Returns how long a stream of \p route may pause between two events before
-/// the attempt counts as stalled. Infinite if the call may not be repeated.
+/// the attempt is doubted. Infinite if the call may not be repeated.
 absl::Duration eventGapTimeout(const routes::Route &route);
 
 } // namespace orioletally::core::relay
--- a/drivers/relay/call_runner.h
+++ b/drivers/relay/call_runner.h
@@ -1,26 +1,24 @@
 #ifndef ORIOLETALLY_DRIVERS_RELAY_CALL_RUNNER_H
 #define ORIOLETALLY_DRIVERS_RELAY_CALL_RUNNER_H
 
-#include "core/relay/attempt_policy.h"
-#include "core/relay/body_framing.h"
 #include "core/relay/call_lifecycle.h"
-#include "core/relay/event_stream.h"
-#include "drivers/relay/memory_lease.h"
-#include "drivers/relay/relay_context.h"
+#include "drivers/relay/attempt_runner.h"
 
+#include <deque>
 #include <memory>
 #include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace orioletally::drivers::relay {
 
-using CallRequest = bhttp::request<bhttp::string_body>;
-using PlainResponse = bhttp::response<bhttp::string_body>;
-
 /// Runs one call: finds the route, makes the attempts that core/relay decides
-/// on, and writes the answer to the caller.
-class CallRunner : public std::enable_shared_from_this<CallRunner> {
+/// on, and writes the answer to the caller. When the backend server of an
+/// attempt is silent for too long, another attempt begins beside it; the first
+/// of them with events or a complete answer ends the others.
+class CallRunner : public std::enable_shared_from_this<CallRunner>,
+                   private AttemptListener {
 public:
   CallRunner(RelayContext &context, asio::ip::tcp::socket &socket,
              CallRequest request, absl::Time now);
@@ -30,7 +28,7 @@
   asio::awaitable<bool> run();
 
   /// Ends the call early, because the caller disconnected or the deadline
-  /// passed: closes the connection of the attempt in progress and, during a
+  /// passed: closes the connections of the attempts in progress and, during a
   /// write to the caller, the caller's.
   void abort(core::relay::AttemptEnd reason);
 
@@ -39,24 +37,12 @@
   void giveUp();
 
 private:
-  /// How the body of a streamed answer was framed, and whether its last event
-  /// was incomplete.
-  struct StreamEnd {
-    core::relay::BodyFraming Framing;
-    bool IsInsideEvent;
-  };
-
-  struct AttemptRecord {
-    std::string Backend;
-    core::relay::AttemptEnd End;
-    absl::Duration Took;
-    absl::Duration Predicted;
-    size_t Helpers;
-    /// Empty unless a stream began.
-    std::optional<StreamEnd> Stream;
-    /// The limit in requests a second that the answer stated, if any.
-    std::optional<double> RequestLimit;
-  };
+  void attemptSilent(AttemptRunner &attempt, absl::Duration silent,
+                     absl::Time now) override;
+  asio::awaitable<bool> deliverEvents(AttemptRunner &attempt,
+                                      std::string events) override;
+  asio::awaitable<bool> deliverEnd(AttemptRunner &attempt) override;
+  void callerBlocked() override;
 
   /// Finds the route and the workspace and sets the deadline. Returns false if
   /// the call is answered with an error instead.
@@ -65,129 +51,60 @@
   /// Returns the error of a call that is quarantined or whose prompt has a
   /// quarantined part; empty for any other call.
   std::optional<core::errors::RequestError> quarantineError() const;
+  void describeDemand();
+
   /// Makes attempts until the call has an answer or fails.
   asio::awaitable<void> attempts();
-  asio::awaitable<core::relay::AttemptEnd>
-  attempt(core::relay::Dispatch &dispatch);
-  asio::awaitable<core::relay::AttemptEnd>
-  exchange(core::relay::Dispatch &dispatch);
-  /// Reserves memory at the helpers; returns false if any reservation failed or
-  /// the call was aborted.
-  asio::awaitable<bool> reserveMemory(const core::relay::Dispatch &dispatch);
-  /// Returns what the end of an attempt tells about the call as the cause of a
-  /// crash.
-  core::relay::PromptAttempt
-  promptAttempt(const core::relay::Dispatch &dispatch,
-                core::relay::AttemptEnd end, absl::Time now) const;
-  static std::string reservationName(const core::relay::Dispatch &dispatch,
-                                     size_t n);
-  /// Sets Channel to a connection to \p address, reused or new; returns false
-  /// if there is none or the call was aborted.
-  asio::awaitable<bool> openChannel(const std::string &address);
-  asio::awaitable<core::relay::AttemptEnd>
-  readAnswer(core::relay::Dispatch &dispatch);
-  /// Applies what an answer's head says about the backend server's state:
-  /// that it is leaving, or for how long to send it no calls.
-  void applyServerState(const core::relay::AnswerHead &head, int status,
-                        core::relay::Dispatch &dispatch);
-  /// Applies what an answer's head says about the backend server's request
-  /// limit; all its answers state it.
-  void applyRequestLimit(const core::relay::AnswerHead &head,
-                         const core::relay::Dispatch &dispatch);
-  void markLeaving(const core::fleet::BackendServer &server,
-                   std::string_view reason);
-  asio::awaitable<core::relay::AttemptEnd>
-  readPlain(bhttp::response_parser<bhttp::buffer_body> &parser, bool isFailure);
-  asio::awaitable<core::relay::AttemptEnd>
-  relayStream(bhttp::response_parser<bhttp::buffer_body> &parser,
-              core::relay::Dispatch &dispatch);
-  /// Reads a stream and writes its events to the caller until its body ends.
-  asio::awaitable<core::relay::AttemptEnd>
-  relayEvents(bhttp::response_parser<bhttp::buffer_body> &parser,
-              core::relay::Dispatch &dispatch);
-  /// These four write to the caller and return false if that failed;
-  /// writeChunk() also if the call was aborted meanwhile.
-  asio::awaitable<bool> writeStreamHead();
-  asio::awaitable<bool> writeChunk(const std::string &bytes);
-  asio::awaitable<bool> finishStream();
-  asio::awaitable<bool> writePlain();
-
-  bhttp::request<bhttp::span_body<char>>
-  buildAttempt(const core::relay::Dispatch &dispatch, absl::Time now);
-  /// Returns the outcome of an attempt whose connection failed or was closed.
-  /// \p wasSent is false when nothing of the call was written.
-  core::relay::AttemptEnd interruptedEnd(bool wasSent) const;
-  void closeChannel();
-  void returnChannel(const bhttp::response_parser<bhttp::buffer_body> &parser);
-  void bufferAnswer(const bhttp::response_header<> &head, std::string body);
-  void describeDemand();
-  void setPhaseEnd(absl::Time phaseEnd);
-  void setSilenceTimeout(absl::Duration timeout);
-  void armTimer();
-  void onTimer();
-  void onPhaseTimeout(absl::Time now);
-  void onSilence(absl::Time now);
-  void step(core::relay::CallStep callStep);
+  std::variant<core::relay::Dispatch, core::errors::RequestError>
+  choose(absl::Time now);
+  void start(core::relay::Dispatch dispatch, absl::Time now);
+  asio::awaitable<void> runAttempt(std::shared_ptr<AttemptRunner> attempt);
+  /// Waits until an attempt ends and records how.
+  asio::awaitable<std::shared_ptr<AttemptRunner>> nextEnded();
+  /// Counts the attempts that go on, for the decisions in core/relay.
+  void countInProgress();
+  /// Decides what follows the end of \p attempt; returns whether the call needs
+  /// no attempt any more.
+  bool settle(AttemptRunner &attempt, absl::Time now);
+  core::relay::NextStep nextStep(core::relay::AttemptEnd end, absl::Time now);
+  /// Makes another attempt. Returns false if there can't be one and none is in
+  /// progress.
+  bool retry(core::relay::AttemptEnd last, absl::Time now);
+  /// Sets the error that ends the call, unless there is an answer.
+  void giveUp(core::relay::AttemptEnd last, absl::Time now);
+  /// Ends all attempts but \p winner, which may be null.
+  void stopOthers(const AttemptRunner *winner);
+
+  asio::awaitable<bool> beginStream(AttemptRunner &attempt);
+  void recordEvents(absl::Time now);
   bool isWritingToCaller() const;
+  void onTimeout(absl::Time now);
+  void step(core::relay::CallStep callStep);
   void logEnd();
 
   RelayContext &Context;
-  asio::ip::tcp::socket &Caller;
-  CallRequest Request;
-  absl::Time ArrivedAt;
-
+  RelayedCall Call;
+  AnswerWriter Writer;
   core::relay::CallLifecycle Lifecycle;
-  std::shared_ptr<const core::routes::RoutingConfig> Config;
-  const core::routes::Route *Route = nullptr;
-  std::string Workspace;
-  core::relay::CallHead Head;
+  PhaseTimer Timer;
   core::relay::CallDemand Demand;
-  /// The call and the parts of its prompt, as PromptQuarantine expects them.
-  std::vector<std::string> CrashSuspects;
-  core::relay::CallProgress Progress;
-  core::relay::EventStream Events;
-
-  /// Memory reserved at the helpers of the attempt in progress.
-  std::vector<std::shared_ptr<MemoryLease>> Leases;
-  std::unique_ptr<BackendChannel> Channel;
-  /// The attempt in progress; null between attempts.
-  core::relay::Dispatch *Current = nullptr;
-  asio::steady_timer Timer;
-  /// When the wait in progress times out; what happens then depends on the
-  /// call's state.
-  absl::Time PhaseEnd = absl::InfiniteFuture();
-  /// When Timer was last set to expire: at PhaseEnd or the deadline, or earlier
-  /// if PhaseEnd was put off since. Infinite before Timer is armed and after it
-  /// expires.
-  absl::Time TimerExpiresAt = absl::InfiniteFuture();
-  /// When events of the stream last arrived; initially the attempt's start.
-  absl::Time LastByteAt;
-  absl::Duration SilenceTimeout = absl::InfiniteDuration();
+  /// The service of the last attempt.
+  std::string Service;
+
+  std::vector<std::shared_ptr<AttemptRunner>> InProgress;
+  /// Attempts that have ended and aren't handled yet.
+  std::deque<std::shared_ptr<AttemptRunner>> Ended;
+  /// Never expires; its cancellation tells that an attempt has ended.
+  asio::steady_timer AttemptEnded;
+  std::vector<AttemptRecord> Records;
+  /// Number of attempts at which nothing was written.
+  int UnsentAttempts = 0;
   /// Set when the whole call ends early.
   std::optional<core::relay::AttemptEnd> Aborted;
-  /// The end of the attempt's stream; empty unless one began.
-  std::optional<StreamEnd> LastStreamEnd;
-  /// The limit in requests a second that the attempt's answer stated, if any.
-  std::optional<double> LastRequestLimit;
-  /// Whether the attempt in progress was abandoned because no bytes came for
-  /// too long.
-  bool IsStalled = false;
-  /// Whether the attempt's answer has shown that the prompt's parts are sound.
-  bool IsPromptSound = false;
-  /// Whether the retry after the attempt in progress has already been taken
-  /// from the budget.
-  bool IsRetryCharged = false;
-  bool KeepCallerOpen = true;
-  /// Whether the answer was written to the caller up to its end.
-  bool IsAnswerWhole = false;
 
   /// The answer to write at the end unless a stream is delivered: a backend
   /// server's complete answer or this node's own error.
   std::optional<PlainResponse> BufferedAnswer;
-  /// The head of a streamed answer until it is written.
-  std::optional<bhttp::response<bhttp::empty_body>> StreamHead;
-  std::vector<AttemptRecord> Attempts;
-  int Status = 0;
   std::string LocalErrorCode;
   std::string LocalErrorRule;
   int64_t LocalRetryAfterMs = 0;
@@ -195,6 +112,8 @@
   absl::Duration StartDelay = absl::ZeroDuration();
   /// Time from the call's arrival to the first event of the stream.
   absl::Duration FirstEventAfter = absl::ZeroDuration();
+  /// When events were last delivered.
+  absl::Time LastEventsAt;
   /// Longest pause between events of the stream.
   absl::Duration LongestGap = absl::ZeroDuration();
 };
--- a/drivers/relay/memory_lease.cpp
+++ b/drivers/relay/memory_lease.cpp
@@ -35,8 +35,10 @@
 }
 
 asio::awaitable<bool> MemoryLease::acquire() {
+  IsAcquiring = true;
   const int status =
       co_await sendCommand(Codec.encodeReserve(Name, Tokens, LeaseDuration));
+  IsAcquiring = false;
   log::write(log::Level::Info, "memory_reserved",
              {{"reservation", Name}, {"tokens", Tokens}, {"status", status}});
   const bool isReserved = status == StatusOk && !IsReleased;
@@ -46,6 +48,8 @@
         Loop, [self = shared_from_this()] { return self->renew(); },
         asio::detached);
   }
+  if (IsReleased)
+    spawnRelease();
   co_return isReserved;
 }
 
@@ -65,11 +69,19 @@
 }
 
 void MemoryLease::release() {
+  if (IsReleased)
+    return;
   IsReleased = true;
   Timer.cancel();
+  // The command in progress ends early; the release follows it.
+  if (IsAcquiring)
+    Client.close();
   // renew() sends the release itself when it ends.
-  if (IsRenewing)
-    return;
+  else if (!IsRenewing)
+    spawnRelease();
+}
+
+void MemoryLease::spawnRelease() {
   asio::co_spawn(
       Loop, [self = shared_from_this()] { return self->sendRelease(); },
       asio::detached);
--- a/drivers/relay/memory_lease.h
+++ b/drivers/relay/memory_lease.h
@@ -32,6 +32,7 @@
   /// Returns the status of the answer; 0 without one.
   asio::awaitable<int> sendCommand(core::relay::BackendCommand command);
   asio::awaitable<void> renew();
+  void spawnRelease();
   asio::awaitable<void> sendRelease();
 
   asio::io_context &Loop;
@@ -40,6 +41,7 @@
   int64_t Tokens;
   loop::HttpClient Client;
   asio::steady_timer Timer;
+  bool IsAcquiring = false;
   bool IsRenewing = false;
   bool IsReleased = false;
 };
--- a/drivers/relay/relay_context.h
+++ b/drivers/relay/relay_context.h
@@ -36,6 +36,7 @@
   const core::relay::CallCodec &Codec;
   metrics::RelayMetrics &Metrics;
   const core::charts::StateChart &CallChart;
+  const core::charts::StateChart &AttemptChart;
   /// Delays calls that arrive before the configuration and the backend servers
   /// have been read.
   StartGate &Gate;
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -150,9 +150,10 @@
 /// The components of a node, in order of construction: each outlives those
 /// declared after it.
 struct EntryNode::Parts {
-  Parts(const FieldValues &values, uint64_t incarnation, StateChart chart,
+  Parts(const FieldValues &values, uint64_t incarnation, RelayCharts charts,
         SettingsFile &file)
-      : Settings(values), File(file), CallChart(std::move(chart)),
+      : Settings(values), File(file), CallChart(std::move(charts.Call)),
+        AttemptChart(std::move(charts.Attempt)),
         Calls(dispatcherSettings(values, incarnation)),
         Start(Loop, drivers::clock::steadyNow()),
         Guard(Loop, Metrics), Context{Loop,
@@ -160,6 +161,7 @@
                                       Codec,
                                       Metrics,
                                       CallChart,
+                                      AttemptChart,
                                       Start,
                                       Guard,
                                       {},
@@ -504,6 +506,7 @@
   FieldValues Settings;
   SettingsFile &File;
   StateChart CallChart;
+  StateChart AttemptChart;
   drivers::loop::EventLoop Loop;
   core::relay::Dispatcher Calls;
   platform::HeaderCodec Codec;
@@ -525,8 +528,8 @@
 };
 
 EntryNode::EntryNode(const FieldValues &settings, uint64_t incarnation,
-                     StateChart callChart, SettingsFile &file)
-    : All(std::make_unique<Parts>(settings, incarnation, std::move(callChart),
+                     RelayCharts charts, SettingsFile &file)
+    : All(std::make_unique<Parts>(settings, incarnation, std::move(charts),
                                   file)) {}
 
 EntryNode::~EntryNode() = default;
--- a/main/entry_node.h
+++ b/main/entry_node.h
@@ -11,6 +11,12 @@
 
 namespace orioletally::main {
 
+/// The state charts that an entry node follows.
+struct RelayCharts {
+  core::charts::StateChart Call;
+  core::charts::StateChart Attempt;
+};
+
 /// An entry node on the users' platform: relays calls to backend servers
 /// according to the configuration in the platform's store.
 class EntryNode {
@@ -18,7 +24,7 @@
   /// Begins with \p settings and applies later changes of \p file, which must
   /// outlive the node.
   EntryNode(const core::fields::FieldValues &settings, uint64_t incarnation,
-            core::charts::StateChart callChart, SettingsFile &file);
+            RelayCharts charts, SettingsFile &file);
   ~EntryNode();
   EntryNode(const EntryNode &) = delete;
   EntryNode &operator=(const EntryNode &) = delete;
--- a/main/main.cpp
+++ b/main/main.cpp
@@ -157,8 +157,11 @@
     drivers::log::setIdentity(
         settings.text("node.name"), incarnation,
         drivers::log::levelFromName(settings.text("log.level")));
-    BOOST_LEAF_AUTO(chart, charts::callChart());
-    EntryNode node(settings, incarnation, std::move(chart), settingsFile);
+    BOOST_LEAF_AUTO(callChart, charts::callChart());
+    BOOST_LEAF_AUTO(attemptChart, charts::attemptChart());
+    EntryNode node(settings, incarnation,
+                   {std::move(callChart), std::move(attemptChart)},
+                   settingsFile);
     BOOST_LEAF_CHECK(node.start());
     const bool isCleanExit = node.run();
     drivers::log::write(drivers::log::Level::Info, "stopped",
@@ -171,6 +174,7 @@
   return runReportingErrors([&]() -> leaf::result<ExitCode> {
     BOOST_LEAF_CHECK(charts::requestChart());
     BOOST_LEAF_CHECK(charts::callChart());
+    BOOST_LEAF_CHECK(charts::attemptChart());
     BOOST_LEAF_CHECK(loadSettings(file));
     fmt::print("{}: valid\n", file);
     return ExitCode::Done;
--- a/tests/core/test_attempt_policy.cpp
+++ b/tests/core/test_attempt_policy.cpp
@@ -91,6 +91,56 @@
   }
 }
 
+// The server of another attempt may only be silent for a while.
+TEST(AttemptPolicy, WaitsForAnAttemptInProgressInsteadOfGivingUp) {
+  route.Resumable = true;
+  progress.Sent = 1;
+  progress.InProgress = 1;
+  for (const bool isDelivered : {false, true}) {
+    progress.Delivered = isDelivered;
+    for (const AttemptEnd end :
+         {AttemptEnd::Refused, AttemptEnd::Failed, AttemptEnd::Broken,
+          AttemptEnd::Garbled, AttemptEnd::NotSent, AttemptEnd::WrongBackend})
+      CHECK(next(RouteKind::Streaming, end) == NextStep::Wait);
+  }
+  CHECK(next(RouteKind::Streaming, AttemptEnd::Answered) ==
+        NextStep::ForwardAnswer);
+  CHECK(next(RouteKind::Streaming, AttemptEnd::OutOfTime) ==
+        NextStep::AbortAnswer);
+}
+
+TEST(AttemptPolicy, AttemptsInProgressCountTowardsTheLimit) {
+  route.Resumable = true;
+  route.MaxAttempts = 3;
+  progress.Sent = 1;
+  progress.InProgress = 1;
+  CHECK(next(RouteKind::Streaming, AttemptEnd::Refused) == NextStep::Retry);
+  progress.IsAnswering = true;
+  CHECK(next(RouteKind::Streaming, AttemptEnd::Refused) == NextStep::Wait);
+  progress.IsAnswering = false;
+  progress.InProgress = 2;
+  CHECK(next(RouteKind::Streaming, AttemptEnd::Refused) == NextStep::Wait);
+}
+
+TEST(AttemptPolicy, OnlyRepeatableCallsOverlapTheirAttempts) {
+  progress.Sent = 0;
+  progress.InProgress = 1;
+  route.Kind = RouteKind::Idempotent;
+  CHECK(mayOverlap(route, progress, at(0)));
+  CHECK_FALSE(mayOverlap(route, progress, at(970)));
+  route.Kind = RouteKind::NonIdempotent;
+  CHECK_FALSE(mayOverlap(route, progress, at(0)));
+  route.Kind = RouteKind::Streaming;
+  CHECK_FALSE(mayOverlap(route, progress, at(0)));
+  route.Resumable = true;
+  CHECK(mayOverlap(route, progress, at(0)));
+  progress.IsAnswering = true;
+  CHECK_FALSE(mayOverlap(route, progress, at(0)));
+  progress.IsAnswering = false;
+  progress.Sent = 1;
+  CHECK_FALSE(mayOverlap(route, progress, at(0)));
+}
+
 TEST(AttemptPolicy, RespondingBackendServerGetsALongerSilenceTimeout) {
   const absl::Duration timeout = absl::Seconds(1);
   CHECK_FALSE(
--- a/tests/core/test_call_lifecycle.cpp
+++ b/tests/core/test_call_lifecycle.cpp
@@ -47,8 +47,7 @@
 
 TEST(CallLifecycle, WholeAnswerIsDeliveredOnceAndEndsTheCall) {
   CallLifecycle lifecycle =
-      after({CallStep::Chosen, CallStep::Sent, CallStep::AttemptEnded,
-             CallStep::AnswerReady});
+      after({CallStep::Chosen, CallStep::AttemptsEnded, CallStep::AnswerReady});
   CHECK(lifecycle.timeout() == CallTimeout::CallerWrite);
   CHECK(lifecycle.apply(CallStep::Settled));
   CHECK(lifecycle.isEnded());
@@ -56,56 +55,37 @@
   CHECK_FALSE(lifecycle.apply(CallStep::Chosen));
 }
 
-TEST(CallLifecycle, AnAttemptMayEndInEachOfItsStates) {
-  const std::vector<std::vector<CallStep>> stepSequences = {
-      {CallStep::Chosen},
-      {CallStep::Chosen, CallStep::Sent},
-      {CallStep::Chosen, CallStep::Sent, CallStep::EventsReady},
-      {CallStep::Chosen, CallStep::Sent, CallStep::EventsReady,
-       CallStep::EventsTaken},
-  };
-  for (const auto &it : stepSequences) {
-    CallLifecycle lifecycle = after(it);
-    CHECK(lifecycle.apply(CallStep::AttemptEnded));
-    CHECK(lifecycle.state() == CallState::Choosing);
-    CHECK(lifecycle.apply(CallStep::Settled));
-  }
+TEST(CallLifecycle, AnotherAttemptMayBeginBesideOneInProgress) {
+  CallLifecycle lifecycle = after({CallStep::Chosen, CallStep::Chosen});
+  CHECK(lifecycle.state() == CallState::Attempting);
+  CHECK(lifecycle.apply(CallStep::AttemptsEnded));
+  CHECK(lifecycle.state() == CallState::Choosing);
+  CHECK(lifecycle.apply(CallStep::Settled));
 }
 
 TEST(CallLifecycle, EachStateHasItsTimeout) {
   CHECK(after({}).timeout() == CallTimeout::TimeLimit);
-  CHECK(after({CallStep::Chosen}).timeout() == CallTimeout::Connect);
-  CHECK(after({CallStep::Chosen, CallStep::Sent}).timeout() ==
-        CallTimeout::Silence);
-  CHECK(after({CallStep::Chosen, CallStep::Sent, CallStep::EventsReady})
-            .timeout() == CallTimeout::CallerWrite);
-  CHECK(after({CallStep::Chosen, CallStep::Sent, CallStep::EventsReady,
-               CallStep::EventsTaken})
-            .timeout() == CallTimeout::Silence);
+  CHECK(after({CallStep::Chosen}).timeout() == CallTimeout::TimeLimit);
+  CHECK(after({CallStep::AnswerReady}).timeout() == CallTimeout::CallerWrite);
   CHECK(after({CallStep::Settled}).timeout() == CallTimeout::None);
 }
 
-TEST(CallLifecycle, RejectsASendBeforeTheChoiceAndASecondAttempt) {
-  CHECK_FALSE(after({}).apply(CallStep::Sent));
-  CHECK_FALSE(after({CallStep::Chosen}).apply(CallStep::Chosen));
-  CHECK_FALSE(
-      after({CallStep::Chosen, CallStep::Sent}).apply(CallStep::Chosen));
-  CHECK_FALSE(
-      after({CallStep::Chosen, CallStep::Sent}).apply(CallStep::AnswerReady));
+TEST(CallLifecycle, AnswersOnlyWhenNoAttemptIsInProgress) {
+  CHECK_FALSE(after({}).apply(CallStep::AttemptsEnded));
+  CHECK_FALSE(after({CallStep::Chosen}).apply(CallStep::AnswerReady));
+  CHECK_FALSE(after({CallStep::Chosen}).apply(CallStep::Settled));
+  CHECK_FALSE(after({CallStep::AnswerReady}).apply(CallStep::Chosen));
 }
 
 TEST(CallLifecycle, RejectsAChartWithAnUnknownTimeout) {
-  std::string text = "initial='choosing'\n";
-  const char *names[] = {"opening",   "waiting",    "forwarding",
-                         "streaming", "delivering", "ended"};
-  text += "[[state]]\nname='choosing'\ntimeout='patience'\n[state.on]\n"
-          "chosen='opening'\nsent='waiting'\nevents_ready='forwarding'\n"
-          "events_taken='streaming'\nanswer_ready='delivering'\n"
-          "settled='ended'\n";
-  for (const char *it : names)
-    text += std::string("[[state]]\nname='") + it +
-            (std::string(it) == "ended" ? "'\nfinal=true\n"
-                                        : "'\ntimeout='silence'\n");
-  STRCMP_EQUAL("state choosing: unknown timeout patience",
-               reasonFor(text).c_str());
+  STRCMP_EQUAL(
+      "state choosing: unknown timeout patience",
+      reasonFor("initial='choosing'\n"
+                "[[state]]\nname='choosing'\ntimeout='patience'\n"
+                "[state.on]\nchosen='attempting'\n"
+                "answer_ready='delivering'\nsettled='ended'\n"
+                "[[state]]\nname='attempting'\ntimeout='time_limit'\n"
+                "[[state]]\nname='delivering'\ntimeout='caller_write'\n"
+                "[[state]]\nname='ended'\nfinal=true\n")
+          .c_str());
 }
