--- a/tests/platform/test_silent_server.cpp
+++ b/tests/platform/test_silent_server.cpp
@@ -323,6 +323,50 @@
   CHECK(within(500, [&] { return freed == 2; }));
 }
 
+// Memory that an engine keeps for a silent one is lost to all prompts.
+TEST(SilentServer, MemoryReservedForASilentEngineIsReleased) {
+  nlohmann::json config =
+      nlohmann::json::parse(fixture.Store.value("op", "config"));
+  for (nlohmann::json &it : config["services"])
+    if (it["name"] == "engine")
+      it["engine"]["kv_capacity"] = 40'000;
+  config["version"] = 2;
+  fixture.Store.put("op", "config", config.dump());
+  std::atomic<int> reserved = 0;
+  std::atomic<int> released = 0;
+  std::atomic<int> attempts = 0;
+  std::atomic<int> reservedByFirst = 0;
+  StandInBackend engine([&](const RawRequest &request,
+                            const RawConnection &out) {
+    if (request.Target.find("order") != std::string::npos) {
+      const bool isRelease = request.Body.find("release") != std::string::npos;
+      ++(isRelease ? released : reserved);
+      out.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+      return true;
+    }
+    if (++attempts > 1) {
+      out.closesWithin(3'000);
+      return false;
+    }
+    reservedByFirst = reserved.load();
+    return !out.closesWithin(8'000);
+  });
+  for (int n = 0; n < 6; ++n)
+    fixture.listBackend(fmt::format("e-{}", n), "engine", engine.address());
+  CHECK(fixture.start(6));
+  std::thread caller([&] {
+    fixture.call("POST", "/ask/x", "X-Orioletally-Token-Counts: 60000,100\r\n",
+                 "b");
+  });
+  const bool hasSecond = within(5'000, [&] { return attempts == 2; });
+  const bool isReleased =
+      within(500, [&] { return released >= reservedByFirst; });
+  caller.join();
+  CHECK(reservedByFirst > 0);
+  CHECK(hasSecond);
+  CHECK(isReleased);
+}
+
 TEST(SilentServer, UnrepeatableCallWaitsForItsOneServer) {
   StandInBackend desk(silentBefore(wholeBody, "", 1'500));
   StandInBackend engine(silentBefore(wholeStream, "f\r\nid: 4", 1'500));
