--- a/core/relay/attempt_policy.cpp
+++ b/core/relay/attempt_policy.cpp
@@ -7,10 +7,10 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 12> EndNames = {
-    "answered", "failed",      "refused",     "wrong_backend",
-    "not_sent", "no_memory",   "broken",      "stalled",
-    "garbled",  "out_of_time", "caller_gone", "superseded"};
+constexpr std::array<std::string_view, 13> EndNames = {
+    "answered",    "failed",     "refused",  "wrong_backend", "not_sent",
+    "no_memory",   "broken",     "stalled",  "garbled",       "out_of_time",
+    "caller_gone", "superseded", "withdrawn"};
 
 /// No attempt is retried with less time than this before the deadline: about
 /// one round trip between availability zones and the work of a short call.
@@ -23,7 +23,8 @@
 bool mayBeginAttempt(const routes::Route &route, const CallProgress &progress,
                      absl::Time now) {
   return !progress.IsAnswering && now + MinRetryTime < progress.Deadline &&
-         progress.Sent + progress.InProgress < route.MaxAttempts;
+         (progress.MayReturn ||
+          progress.Sent + progress.InProgress < route.MaxAttempts);
 }
 
 } // namespace
@@ -32,12 +33,18 @@
   return EndNames[static_cast<size_t>(end)];
 }
 
+bool wasSent(AttemptEnd end) {
+  return end != AttemptEnd::NotSent && end != AttemptEnd::NoMemory &&
+         end != AttemptEnd::Withdrawn;
+}
+
 bool mayHaveRun(AttemptEnd end) {
   switch (end) {
   case AttemptEnd::Refused:
   case AttemptEnd::WrongBackend:
   case AttemptEnd::NotSent:
   case AttemptEnd::NoMemory:
+  case AttemptEnd::Withdrawn:
     return false;
   default:
     return true;
--- a/core/relay/attempt_policy.h
+++ b/core/relay/attempt_policy.h
@@ -41,11 +41,17 @@
   CallerGone,
   /// Another attempt at the same call was answered first.
   Superseded,
+  /// The same, before anything was written.
+  Withdrawn,
 };
 
 /// Returns the name of \p end in logs and metrics.
 std::string_view attemptEndName(AttemptEnd end);
 
+/// Whether the request of an attempt that ended with \p end was written, at
+/// least in part.
+bool wasSent(AttemptEnd end);
+
 /// Whether an attempt that ended with \p end may have executed the call.
 bool mayHaveRun(AttemptEnd end);
 
@@ -63,6 +69,9 @@
   int64_t InProgress = 0;
   /// Whether one of those may still be answered in time; the others are silent.
   bool IsAnswering = false;
+  /// Whether a backend server that the call was sent to may be asked again,
+  /// because its attempt ended only since another was answered first.
+  bool MayReturn = false;
   /// Whether bytes of an answer have been written to the caller.
   bool Delivered = false;
   absl::Time Deadline;
--- a/core/relay/dispatcher.cpp
+++ b/core/relay/dispatcher.cpp
@@ -186,9 +186,13 @@
                        absl::Time now) const {
   std::vector<std::shared_ptr<BackendServer>> untried =
       Directory.usable(service, now);
+  const auto contains = [](const std::vector<std::string> &ids,
+                           const std::string &id) {
+    return std::find(ids.begin(), ids.end(), id) != ids.end();
+  };
   std::erase_if(untried, [&](const std::shared_ptr<BackendServer> &it) {
-    return std::find(demand.Tried.begin(), demand.Tried.end(), it->Entry.Id) !=
-           demand.Tried.end();
+    return contains(demand.Tried, it->Entry.Id) ||
+           (!demand.Only.empty() && !contains(demand.Only, it->Entry.Id));
   });
   std::erase_if(untried, [&](const std::shared_ptr<BackendServer> &it) {
     return now < unblockedAt(*it);
--- a/core/relay/dispatcher.h
+++ b/core/relay/dispatcher.h
@@ -33,6 +33,8 @@
   absl::Time Deadline;
   /// Ids of the backend servers that earlier attempts were sent to.
   std::vector<std::string> Tried;
+  /// If not empty, the ids of the backend servers that may be chosen.
+  std::vector<std::string> Only;
 };
 
 /// The backend server chosen for an attempt, with the engines that help it.
@@ -109,11 +111,6 @@
   /// Takes one retry from the budget of \p service; false when it is spent.
   bool tryRetry(const std::string &service, absl::Time now);
 
-  /// Whether choose() would find a backend server for \p demand now.
-  bool canDispatch(const CallDemand &demand, absl::Time now) {
-    return std::holds_alternative<Dispatch>(choose(demand, now));
-  }
-
   /// Chooses a backend server, or returns the error to refuse the call with.
   std::variant<Dispatch, errors::RequestError> choose(const CallDemand &demand,
                                                       absl::Time now);
--- a/drivers/relay/attempt_runner.cpp
+++ b/drivers/relay/attempt_runner.cpp
@@ -98,6 +98,11 @@
   Context.Dispatcher.sent(Target, now);
 }
 
+void AttemptRunner::fail(absl::Time now) {
+  if (!Lifecycle.isEnded())
+    finish(AttemptEnd::Broken, now);
+}
+
 asio::awaitable<AttemptEnd> AttemptRunner::run() {
   AttemptEnd end = AttemptEnd::NoMemory;
   const bool isReserved = co_await reserveMemory();
@@ -214,8 +219,11 @@
 AttemptEnd AttemptRunner::interruptedEnd(bool wasSent) const {
   if (Stopped == AttemptEnd::CallerGone)
     return *Stopped;
-  if (!wasSent)
-    return AttemptEnd::NotSent;
+  if (!wasSent) {
+    const bool isWithdrawn =
+        Stopped == AttemptEnd::Superseded || Stopped == AttemptEnd::Stalled;
+    return isWithdrawn ? AttemptEnd::Withdrawn : AttemptEnd::NotSent;
+  }
   return Stopped.value_or(AttemptEnd::Broken);
 }
 
@@ -419,7 +427,8 @@
     }
   }
   returnChannel(parser);
-  if (!co_await Listener.deliverEnd(*this))
+  const bool isEnded = co_await forwardEnd();
+  if (!isEnded)
     co_return Stopped.value_or(AttemptEnd::CallerGone);
   co_return AttemptEnd::Answered;
 }
@@ -466,15 +475,28 @@
 }
 
 asio::awaitable<bool> AttemptRunner::forward(std::string events) {
-  step(AttemptStep::EventsReady);
   const absl::Time silenceEnd = Timer.end();
-  Timer.setEnd(clock::steadyNow() + CallerWriteTimeout);
+  beginForwarding(clock::steadyNow());
   const bool isDone = co_await Listener.deliverEvents(*this, std::move(events));
   step(AttemptStep::EventsTaken);
   Timer.setEnd(silenceEnd);
   co_return isDone && !isStopped();
 }
 
+asio::awaitable<bool> AttemptRunner::forwardEnd() {
+  beginForwarding(clock::steadyNow());
+  const bool isDone = co_await Listener.deliverEnd(*this);
+  step(AttemptStep::EventsTaken);
+  Timer.setEnd(absl::InfiniteFuture());
+  co_return isDone;
+}
+
+void AttemptRunner::beginForwarding(absl::Time now) {
+  step(AttemptStep::EventsReady);
+  IsDoubted = false;
+  Timer.setEnd(now + CallerWriteTimeout);
+}
+
 void AttemptRunner::returnChannel(const AnswerParser &parser) {
   if (!parser.keep_alive() || parser.need_eof())
     return;
--- a/drivers/relay/attempt_runner.h
+++ b/drivers/relay/attempt_runner.h
@@ -90,6 +90,9 @@
   /// Makes the attempt and returns how it ended.
   asio::awaitable<core::relay::AttemptEnd> run();
 
+  /// Ends an attempt whose run() has thrown.
+  void fail(absl::Time now);
+
   /// Ends the attempt early with \p end, or as not sent if nothing was written:
   /// closes its connection.
   void stop(core::relay::AttemptEnd end);
@@ -148,7 +151,11 @@
   asio::awaitable<core::relay::AttemptEnd> relayStream(AnswerParser &parser);
   /// Reads a stream and delivers its events until its body ends.
   asio::awaitable<core::relay::AttemptEnd> relayEvents(AnswerParser &parser);
+  /// These deliver to the caller; false if that failed or the attempt was
+  /// stopped meanwhile.
   asio::awaitable<bool> forward(std::string events);
+  asio::awaitable<bool> forwardEnd();
+  void beginForwarding(absl::Time now);
   void eventsReceived(absl::Time now);
   /// Returns the outcome of an attempt whose connection failed or was closed.
   /// \p wasSent is false when nothing of the call was written.
--- a/drivers/relay/call_runner.cpp
+++ b/drivers/relay/call_runner.cpp
@@ -5,6 +5,7 @@
 #include "drivers/relay/message_parts.h"
 
 #include <algorithm>
+#include <exception>
 #include <fmt/format.h>
 #include <utility>
 
@@ -183,6 +184,10 @@
 std::variant<Dispatch, RequestError> CallRunner::choose(absl::Time now) {
   if (const auto error = quarantineError())
     return *error;
+  // A further attempt may not reach more backend servers than the route allows.
+  const bool isSpent =
+      Call.Progress.Sent + Call.Progress.InProgress >= Call.Route->MaxAttempts;
+  Demand.Only = isSpent ? Superseded : std::vector<std::string>();
   return Context.Dispatcher.choose(Demand, now);
 }
 
@@ -190,6 +195,8 @@
   step(CallStep::Chosen);
   Service = dispatch.Server->Entry.Service;
   Demand.Tried.push_back(dispatch.Server->Entry.Id);
+  std::erase(Superseded, dispatch.Server->Entry.Id);
+  Call.Progress.MayReturn = !Superseded.empty();
   auto attempt = std::make_shared<AttemptRunner>(
       Context, Call, static_cast<AttemptListener &>(*this),
       std::move(dispatch));
@@ -205,7 +212,14 @@
 
 asio::awaitable<void>
 CallRunner::runAttempt(std::shared_ptr<AttemptRunner> attempt) {
-  co_await attempt->run();
+  try {
+    co_await attempt->run();
+  } catch (const std::exception &error) {
+    log::write(
+        log::Level::Error, "attempt_failed",
+        {{"id", Call.Head.AttemptId}, {"reason", std::string(error.what())}});
+    attempt->fail(clock::steadyNow());
+  }
   std::erase(InProgress, attempt);
   Ended.push_back(std::move(attempt));
   AttemptEnded.cancel();
@@ -221,11 +235,17 @@
     step(CallStep::AttemptsEnded);
   Records.push_back(attempt->record());
   const AttemptEnd end = attempt->record().End;
-  if (end != AttemptEnd::NotSent && end != AttemptEnd::NoMemory) {
+  if (core::relay::wasSent(end)) {
     ++Call.Progress.Sent;
     Call.Progress.MayHaveRun =
         Call.Progress.MayHaveRun || core::relay::mayHaveRun(end);
   }
+  if (end == AttemptEnd::Superseded || end == AttemptEnd::Withdrawn)
+    std::erase(Demand.Tried, attempt->record().Backend);
+  if (end == AttemptEnd::Superseded) {
+    Superseded.push_back(attempt->record().Backend);
+    Call.Progress.MayReturn = true;
+  }
   co_return attempt;
 }
 
@@ -258,6 +278,13 @@
     ++Call.Progress.InProgress;
     Call.Progress.IsAnswering = Call.Progress.IsAnswering || !it->isDoubted();
   }
+  // One of these may have the whole answer.
+  for (const std::shared_ptr<AttemptRunner> &it : Ended) {
+    if (it->isStopped())
+      continue;
+    ++Call.Progress.InProgress;
+    Call.Progress.IsAnswering = true;
+  }
 }
 
 bool CallRunner::settle(AttemptRunner &attempt, absl::Time now) {
@@ -266,9 +293,11 @@
   if (attempt.plainAnswer().has_value())
     BufferedAnswer = std::move(attempt.plainAnswer());
   if (Aborted.has_value()) {
-    if (Call.Progress.InProgress == 0 && *Aborted != AttemptEnd::CallerGone)
+    if (!InProgress.empty() || !Ended.empty())
+      return false;
+    if (*Aborted != AttemptEnd::CallerGone)
       giveUp(Call.Progress.MayHaveRun ? *Aborted : end, now);
-    return Call.Progress.InProgress == 0;
+    return true;
   }
   // Another attempt took its place.
   if (attempt.isStopped())
@@ -302,6 +331,7 @@
   // Decide as after the last allowed attempt.
   core::relay::CallProgress spent = Call.Progress;
   spent.Sent = Call.Route->MaxAttempts;
+  spent.MayReturn = false;
   return core::relay::nextStep(*Call.Route, spent, end, now);
 }
 
@@ -334,6 +364,8 @@
   for (const std::shared_ptr<AttemptRunner> &it : InProgress)
     if (it.get() != winner)
       it->stop(it->isDoubted() ? AttemptEnd::Stalled : AttemptEnd::Superseded);
+  for (const std::shared_ptr<AttemptRunner> &it : Ended)
+    it->stop(AttemptEnd::Superseded);
 }
 
 void CallRunner::attemptSilent(AttemptRunner &attempt, absl::Duration silent,
--- a/drivers/relay/call_runner.h
+++ b/drivers/relay/call_runner.h
@@ -97,6 +97,9 @@
   /// Never expires; its cancellation tells that an attempt has ended.
   asio::steady_timer AttemptEnded;
   std::vector<AttemptRecord> Records;
+  /// Ids of the backend servers whose attempts ended only because another was
+  /// answered first.
+  std::vector<std::string> Superseded;
   /// Number of attempts at which nothing was written.
   int UnsentAttempts = 0;
   /// Set when the whole call ends early.
--- a/tests/core/test_attempt_policy.cpp
+++ b/tests/core/test_attempt_policy.cpp
@@ -122,6 +122,25 @@
   CHECK(next(RouteKind::Streaming, AttemptEnd::Refused) == NextStep::Wait);
 }
 
+// A server that was asked beside a silent one is no further server.
+TEST(AttemptPolicy, SupersededServerMayBeAskedAgainAtTheLimit) {
+  route.Resumable = true;
+  progress.Sent = 2;
+  CHECK(next(RouteKind::Streaming, AttemptEnd::Broken) == NextStep::GiveUp);
+  progress.MayReturn = true;
+  CHECK(next(RouteKind::Streaming, AttemptEnd::Broken) == NextStep::Retry);
+  CHECK(next(RouteKind::NonIdempotent, AttemptEnd::Broken) == NextStep::GiveUp);
+}
+
+TEST(AttemptPolicy, WithdrawnAttemptTellsNothing) {
+  CHECK_FALSE(wasSent(AttemptEnd::Withdrawn));
+  CHECK_FALSE(mayHaveRun(AttemptEnd::Withdrawn));
+  CHECK_FALSE(healthSignal(AttemptEnd::Withdrawn).has_value());
+  CHECK_FALSE(healthSignal(AttemptEnd::Superseded).has_value());
+  CHECK(wasSent(AttemptEnd::Superseded));
+  CHECK(mayHaveRun(AttemptEnd::Superseded));
+}
+
 TEST(AttemptPolicy, OnlyRepeatableCallsOverlapTheirAttempts) {
   progress.Sent = 0;
   progress.InProgress = 1;
--- a/tests/platform/test_silent_server.cpp
+++ b/tests/platform/test_silent_server.cpp
@@ -323,6 +323,43 @@
   CHECK(within(500, [&] { return freed == 2; }));
 }
 
+// The server that was asked meanwhile is sound; the route allows two.
+TEST(SilentServer, StreamThatBreaksLaterResumesAtTheSupersededServer) {
+  std::atomic<int> later = 0;
+  const auto first = [](const RawRequest &request, const RawConnection &out) {
+    const std::string bytes = wholeStream(request);
+    const size_t fourth = bytes.find("f\r\nid: 4");
+    out.write(bytes.substr(0, fourth));
+    if (!out.closesWithin(1'450))
+      out.write(chunk(event(4)) + "f\r\nid: 5\nda");
+    return false;
+  };
+  const auto other = [&](const RawRequest &request, const RawConnection &out) {
+    if (++later == 1) {
+      out.closesWithin(3'000);
+      return false;
+    }
+    out.write(head(request, "Content-Type: text/event-stream\r\n"
+                            "Transfer-Encoding: chunked\r\n") +
+              chunk(event(5)) + chunk(event(6)) + "0\r\n\r\n");
+    return true;
+  };
+  ScriptedServers servers(fixture, "engine", first, other);
+  CHECK(fixture.start(2));
+  checkWhole("/ask/x", events(1, EventCount));
+  LONGS_EQUAL(2, later);
+}
+
+// Its silent server may have run the call.
+TEST(SilentServer, RefusalByAnotherServerIsNotPassedOnAsNotRun) {
+  fixture.PlainTimeoutMs = 1'500;
+  fixture.configure(2);
+  ScriptedServers servers(fixture, "plain", scripts::silence(),
+                          refusals().front().Later);
+  CHECK(fixture.start(2));
+  LONGS_EQUAL(504, fixture.call("POST", "/read/x", "", "b").Status);
+}
+
 // Memory that an engine keeps for a silent one is lost to all prompts.
 TEST(SilentServer, MemoryReservedForASilentEngineIsReleased) {
   nlohmann::json config =
