Apply the limits in force when a call begins to arrive

What callers saw: after a configuration with larger limits, calls on kept connections were still refused with 413 or 431 once per connection, although the configuration in force allowed them.

Cause: a connection took the limits before it waited for its next call, so they were those of the configuration in force when the wait began. They are now taken when the first bytes of the call have arrived; the header timeout with them.

The new test failed before, on: Failure in TEST(Changes, WaitingConnectionsFollowLargerLimits) expected <200 (0xc8)> but was <431 (0x1af)>

The other tests of the group passed on without a change of the code: calls that are read slowly, run, stream or are sent again after a refusal keep their answer beside each kind of change of the configuration, in series, beside SIGHUP, beside SIGTERM, and when their backend servers drain or are unlisted.

--- a/drivers/relay/caller_session.cpp
+++ b/drivers/relay/caller_session.cpp
@@ -68,17 +68,14 @@
 }
 
 asio::awaitable<bool> CallerSession::serveOne() {
-  const auto config = Context.Dispatcher.config();
-  const core::routes::CallerLimits limits =
-      config == nullptr ? core::routes::CallerLimits{} : config->limits();
   if (Buffer.size() == 0) {
-    const bool hasData = co_await awaitFirstByte(limits.IdleTimeout);
+    const bool hasData = co_await awaitFirstByte(limits().IdleTimeout);
     if (!hasData) {
       co_return false;
     }
   }
   IsReading = true;
-  std::optional<CallRequest> request = co_await readRequest(limits);
+  std::optional<CallRequest> request = co_await readRequest();
   IsReading = false;
   if (!request.has_value())
     co_return false;
@@ -96,6 +93,11 @@
   co_return isKeptOpen;
 }
 
+core::routes::CallerLimits CallerSession::limits() const {
+  const auto config = Context.Dispatcher.config();
+  return config == nullptr ? core::routes::CallerLimits{} : config->limits();
+}
+
 void CallerSession::closeIfIdle() {
   boost::system::error_code ec;
   // A call whose first bytes have arrived is still read and answered.
@@ -123,12 +125,12 @@
   co_return !ec;
 }
 
-asio::awaitable<std::optional<CallRequest>>
-CallerSession::readRequest(const core::routes::CallerLimits &limits) {
+asio::awaitable<std::optional<CallRequest>> CallerSession::readRequest() {
+  const core::routes::CallerLimits inForce = limits();
   loop::RequestParser parser;
-  parser.header_limit(limits.MaxHeaderBytes);
-  parser.body_limit(limits.MaxBodyBytes);
-  Stream.expires_after(toChrono(limits.HeaderTimeout));
+  parser.header_limit(inForce.MaxHeaderBytes);
+  parser.body_limit(inForce.MaxBodyBytes);
+  Stream.expires_after(toChrono(inForce.HeaderTimeout));
   const boost::system::error_code readError = co_await loop::readRequest(
       Stream, Buffer, parser, isAmbiguous, toChrono(BodyReadTimeout));
   if (readError) {
--- a/drivers/relay/caller_session.h
+++ b/drivers/relay/caller_session.h
@@ -28,9 +28,10 @@
 
 private:
   asio::awaitable<bool> serveOne();
+  /// Returns the limits of the configuration in force.
+  core::routes::CallerLimits limits() const;
   asio::awaitable<bool> awaitFirstByte(absl::Duration timeout);
-  asio::awaitable<std::optional<CallRequest>>
-  readRequest(const core::routes::CallerLimits &limits);
+  asio::awaitable<std::optional<CallRequest>> readRequest();
   asio::awaitable<void> reject(boost::system::error_code ec);
   void watchCaller(const std::shared_ptr<CallRunner> &runner);
 
