Let a longer idle timeout extend waits that have begun

What callers saw: after a configuration with a longer idle timeout, the node closed a kept connection that its caller could still use, and the call that was under way to it had no answer.

Cause: the wait for the next call ended with the idle timeout of the configuration in force when the wait began. IdleWait decides now when the wait is over: a longer timeout extends it, a shorter one doesn't end it, because the caller may follow either configuration. When it is over and bytes have arrived, the call is read.

The new test failed before, on: Failure in TEST(Changes, WaitingConnectionsFollowALongerIdleTimeout) CHECK(isWhole(caller.call(request("/read/x", "a2")))) failed

A configuration that comes and goes again within one wait doesn't extend it.

--- a/drivers/relay/caller_session.cpp
+++ b/drivers/relay/caller_session.cpp
@@ -53,7 +53,7 @@
 
 CallerSession::CallerSession(RelayContext &context,
                              asio::ip::tcp::socket socket)
-    : Context(context), Stream(std::move(socket)) {
+    : Context(context), Stream(std::move(socket)), IdleTimer(context.Loop) {
   boost::system::error_code ignored;
   // With Nagle's algorithm, small events wait until earlier ones are
   // acknowledged.
@@ -69,7 +69,7 @@
 
 asio::awaitable<bool> CallerSession::serveOne() {
   if (Buffer.size() == 0) {
-    const bool hasData = co_await awaitFirstByte(limits().IdleTimeout);
+    const bool hasData = co_await awaitFirstByte();
     if (!hasData) {
       co_return false;
     }
@@ -115,16 +115,31 @@
     runner->giveUp();
 }
 
-asio::awaitable<bool> CallerSession::awaitFirstByte(absl::Duration timeout) {
-  Stream.expires_after(toChrono(timeout));
+asio::awaitable<bool> CallerSession::awaitFirstByte() {
+  Stream.expires_never();
   Idle = true;
+  armIdleTimer({clock::steadyNow(), limits().IdleTimeout});
   const auto [ec, n] =
       co_await Stream.async_read_some(Buffer.prepare(ReadBytes), AsTuple);
   Idle = false;
+  IdleTimer.cancel();
   Buffer.commit(n);
   co_return !ec;
 }
 
+void CallerSession::armIdleTimer(core::relay::IdleWait wait) {
+  IdleTimer.expires_at(clock::waitDeadline(wait.endsAt(), clock::steadyNow()));
+  IdleTimer.async_wait(
+      [self = shared_from_this(), wait](boost::system::error_code ec) mutable {
+        if (ec || !self->Idle)
+          return;
+        if (wait.isOver(clock::steadyNow(), self->limits().IdleTimeout))
+          self->closeIfIdle();
+        else
+          self->armIdleTimer(wait);
+      });
+}
+
 asio::awaitable<std::optional<CallRequest>> CallerSession::readRequest() {
   const core::routes::CallerLimits inForce = limits();
   loop::RequestParser parser;
--- a/drivers/relay/caller_session.h
+++ b/drivers/relay/caller_session.h
@@ -1,6 +1,7 @@
 #ifndef ORIOLETALLY_DRIVERS_RELAY_CALLER_SESSION_H
 #define ORIOLETALLY_DRIVERS_RELAY_CALLER_SESSION_H
 
+#include "core/relay/idle_wait.h"
 #include "drivers/relay/call_runner.h"
 #include "drivers/relay/relay_context.h"
 
@@ -30,7 +31,9 @@
   asio::awaitable<bool> serveOne();
   /// Returns the limits of the configuration in force.
   core::routes::CallerLimits limits() const;
-  asio::awaitable<bool> awaitFirstByte(absl::Duration timeout);
+  asio::awaitable<bool> awaitFirstByte();
+  /// Closes the connection when \p wait ends, unless a call arrives first.
+  void armIdleTimer(core::relay::IdleWait wait);
   asio::awaitable<std::optional<CallRequest>> readRequest();
   asio::awaitable<void> reject(boost::system::error_code ec);
   void watchCaller(const std::shared_ptr<CallRunner> &runner);
@@ -39,6 +42,7 @@
   beast::tcp_stream Stream;
   beast::flat_buffer Buffer;
   std::weak_ptr<CallRunner> Running;
+  asio::steady_timer IdleTimer;
   /// Whether the connection waits for the next call.
   bool Idle = false;
   /// Whether a request has arrived in part.
--- a/tests/platform/test_changes.cpp
+++ b/tests/platform/test_changes.cpp
@@ -576,6 +576,21 @@
                   .Status);
 }
 
+TEST(Changes, WaitingConnectionsFollowALongerIdleTimeout) {
+  const SlowServer server(10);
+  listAll(server);
+  json config = baseConfig();
+  config["limits"]["idle_timeout_ms"] = 1'500;
+  putConfig(config);
+  CHECK(start());
+  KeptCaller caller(fixture.CallsAddress);
+  CHECK(isWhole(caller.call(request("/read/x", "a1"))));
+  config["limits"]["idle_timeout_ms"] = 10'000;
+  CHECK(changeConfig(config));
+  sleepMs(2'000);
+  CHECK(isWhole(caller.call(request("/read/x", "a2"))));
+}
+
 TEST(Changes, WaitingConnectionsKeepTheIdleTimeoutThatTheirCallerKnew) {
   const SlowServer server(10);
   listAll(server);
