Answer calls that are still being read when a shutdown ends

What callers saw: 2.5 s after SIGTERM, or at the end of the grace period, the connection of a call that was still arriving was closed without an answer, and the caller couldn't tell whether it had run.

Cause: the process ended as soon as no call was in progress. A call counts as in progress only once it has been read whole. DrainPlan decides now: calls that have begun to arrive keep the process within its grace period, and get their answer or a 503. When the period ends, a call that has arrived only in part gets a 503 with Retry-After, which holds, because nothing of it was sent to a backend server.

The new tests failed before, on: Failure in TEST(Changes, ShutdownAnswersRequestsThatAreStillRead) body: status 0, not whole; head: status 0, not whole Failure in TEST(Changes, ShutdownRefusesRequestsThatNeverBecomeWhole) CHECK(isRefusal(caller.read())) failed

--- a/drivers/relay/caller_session.cpp
+++ b/drivers/relay/caller_session.cpp
@@ -13,6 +13,7 @@
 
 namespace {
 
+using core::errors::ErrorCode;
 using loop::AsTuple;
 
 constexpr size_t ReadBytes = 16 << 10;
@@ -23,6 +24,8 @@
 constexpr size_t LingerBytes = 256 << 10;
 /// Limit on the time to send the answer to a rejected request.
 constexpr absl::Duration RejectWriteTimeout = absl::Seconds(1);
+/// Retry-After of a call that was still being read when the process ended.
+constexpr int64_t DrainingRetryAfterMs = 200;
 
 std::chrono::nanoseconds toChrono(absl::Duration time) {
   return absl::ToChronoNanoseconds(time);
@@ -74,9 +77,7 @@
       co_return false;
     }
   }
-  IsReading = true;
   std::optional<CallRequest> request = co_await readRequest();
-  IsReading = false;
   if (!request.has_value())
     co_return false;
   Stream.expires_never();
@@ -113,6 +114,10 @@
 void CallerSession::abortCall() {
   if (const auto runner = Running.lock())
     runner->giveUp();
+  if (!IsReading)
+    return;
+  IsEnding = true;
+  Stream.cancel();
 }
 
 asio::awaitable<bool> CallerSession::awaitFirstByte() {
@@ -146,16 +151,34 @@
   parser.header_limit(inForce.MaxHeaderBytes);
   parser.body_limit(inForce.MaxBodyBytes);
   Stream.expires_after(toChrono(inForce.HeaderTimeout));
+  IsReading = true;
   const boost::system::error_code readError = co_await loop::readRequest(
       Stream, Buffer, parser, isAmbiguous, toChrono(BodyReadTimeout));
+  IsReading = false;
   if (readError) {
-    co_await reject(readError);
+    co_await reject(readError, parser.get());
     co_return std::nullopt;
   }
   co_return parser.release();
 }
 
-asio::awaitable<void> CallerSession::reject(boost::system::error_code ec) {
+asio::awaitable<void> CallerSession::reject(boost::system::error_code ec,
+                                            const loop::RequestMessage &head) {
+  if (IsEnding && ec == asio::error::operation_aborted) {
+    log::write(log::Level::Info, "call_rejected",
+               {{"status", core::errors::httpStatus(ErrorCode::Draining)},
+                {"reason", ec.message()}});
+    const std::string id =
+        Context.Codec.decodeCall(headerViews(head)).AttemptId;
+    co_await writeLast(
+        errorResponse(core::errors::RequestErrorBuilder(
+                          ErrorCode::Draining, "this node is shutting down")
+                          .rule("SIGTERM")
+                          .retryAfterMs(DrainingRetryAfterMs)
+                          .build(),
+                      id, Context.Codec));
+    co_return;
+  }
   const std::optional<bhttp::status> status = rejectionStatus(ec);
   if (!status.has_value()) {
     log::write(log::Level::Info, "request_incomplete",
@@ -164,10 +187,14 @@
   }
   log::write(log::Level::Info, "call_rejected",
              {{"status", static_cast<int>(*status)}, {"reason", ec.message()}});
-  bhttp::response<bhttp::string_body> response(*status, 11);
-  response.set(bhttp::field::connection, "close");
+  PlainResponse response(*status, 11);
   response.body() = ec.message();
   response.prepare_payload();
+  co_await writeLast(std::move(response));
+}
+
+asio::awaitable<void> CallerSession::writeLast(PlainResponse response) {
+  response.set(bhttp::field::connection, "close");
   Stream.expires_after(toChrono(RejectWriteTimeout));
   co_await bhttp::async_write(Stream, response, AsTuple);
   co_await loop::lingeringClose(Stream, Buffer, LingerBytes);
--- a/drivers/relay/caller_session.h
+++ b/drivers/relay/caller_session.h
@@ -2,6 +2,7 @@
 #define ORIOLETALLY_DRIVERS_RELAY_CALLER_SESSION_H
 
 #include "core/relay/idle_wait.h"
+#include "drivers/loop/request_reader.h"
 #include "drivers/relay/call_runner.h"
 #include "drivers/relay/relay_context.h"
 
@@ -24,7 +25,8 @@
   /// Whether bytes of a request have arrived that no call answers yet.
   bool hasUnansweredRequest();
 
-  /// Ends the call in progress, if there is one.
+  /// Ends the call in progress, if there is one, and refuses a call that has
+  /// arrived only in part.
   void abortCall();
 
 private:
@@ -35,7 +37,12 @@
   /// Closes the connection when \p wait ends, unless a call arrives first.
   void armIdleTimer(core::relay::IdleWait wait);
   asio::awaitable<std::optional<CallRequest>> readRequest();
-  asio::awaitable<void> reject(boost::system::error_code ec);
+  /// Answers a request that couldn't be read because of \p ec; \p head is what
+  /// was read of it.
+  asio::awaitable<void> reject(boost::system::error_code ec,
+                               const loop::RequestMessage &head);
+  /// Writes \p response and closes the connection.
+  asio::awaitable<void> writeLast(PlainResponse response);
   void watchCaller(const std::shared_ptr<CallRunner> &runner);
 
   RelayContext &Context;
@@ -47,6 +54,8 @@
   bool Idle = false;
   /// Whether a request has arrived in part.
   bool IsReading = false;
+  /// Whether a call that has arrived only in part is refused.
+  bool IsEnding = false;
 };
 
 } // namespace orioletally::drivers::relay
--- a/drivers/relay/relay_server.h
+++ b/drivers/relay/relay_server.h
@@ -26,8 +26,8 @@
   /// next one to another node.
   void closeIdle();
 
-  /// Ends the calls in progress, because the process is about to exit: those
-  /// whose answer hasn't begun get an error.
+  /// Ends the calls in progress and those that are being read, because the
+  /// process is about to exit: those whose answer hasn't begun get an error.
   void abortCalls();
 
   /// Returns how many connections have received bytes of a request that no call
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -1,5 +1,6 @@
 #include "main/entry_node.h"
 
+#include "core/relay/drain_plan.h"
 #include "drivers/clock/clock.h"
 #include "drivers/http/http_server.h"
 #include "drivers/log/log.h"
@@ -455,13 +456,15 @@
                         {{"changed", changed}, {"need_restart", needRestart}});
   }
 
-  /// Ends the calls that are in progress when draining ends and gives them time
-  /// to write their errors.
+  /// Ends the calls that are in progress or are being read when draining ends
+  /// and gives them time to write their errors.
   asio::awaitable<void> endCalls(asio::steady_timer &timer) {
-    if (Context.InProgress == 0)
+    const size_t unanswered = Server.unansweredRequests();
+    if (Context.InProgress == 0 && unanswered == 0)
       co_return;
-    drivers::log::write(drivers::log::Level::Warn, "calls_aborted",
-                        {{"in_progress", Context.InProgress}});
+    drivers::log::write(
+        drivers::log::Level::Warn, "calls_aborted",
+        {{"in_progress", Context.InProgress}, {"unanswered", unanswered}});
     Server.abortCalls();
     timer.expires_after(AbortTime);
     co_await timer.async_wait(AsTuple);
@@ -475,17 +478,15 @@
     Source.unregisterSelf();
     drivers::log::write(drivers::log::Level::Info, "draining",
                         {{"in_progress", Context.InProgress}});
-    const absl::Time until =
-        since + seconds(Settings, "node.grace_s") - ExitMargin;
+    const core::relay::DrainPlan plan(
+        since, drivers::relay::BalancerDrainTime,
+        since + seconds(Settings, "node.grace_s") - ExitMargin);
     asio::steady_timer timer(Loop);
     for (;;) {
       const absl::Time now = drivers::clock::steadyNow();
-      const bool isOutOfRotation =
-          now - since >= drivers::relay::BalancerDrainTime;
-      if (isOutOfRotation)
+      if (plan.closesIdle(now))
         Server.closeIdle();
-      const bool isQuiet = isOutOfRotation && Context.InProgress == 0;
-      if (isQuiet || now >= until)
+      if (plan.isOver(now, Context.InProgress, Server.unansweredRequests()))
         break;
       timer.expires_after(DrainPollInterval);
       co_await timer.async_wait(AsTuple);
--- a/tests/platform/test_changes.cpp
+++ b/tests/platform/test_changes.cpp
@@ -631,6 +631,47 @@
   LONGS_EQUAL(0, failures.count());
 }
 
+// A request that is still being read when the node has nothing else to do must
+// not end with its process.
+TEST(Changes, ShutdownAnswersRequestsThatAreStillRead) {
+  const SlowServer server(10);
+  listAll(server);
+  CHECK(start());
+  const std::string text = request("/write/x", "slow", "body");
+  KeptCaller body(fixture.CallsAddress);
+  KeptCaller head(fixture.CallsAddress);
+  CHECK(isWhole(body.call(request("/write/x", "a1"))));
+  CHECK(isWhole(head.call(request("/write/x", "a2"))));
+  body.write(text.substr(0, text.size() - 2));
+  fixture.Process.signal(SIGTERM);
+  sleepMs(2'000);
+  head.write(text.substr(0, 40));
+  sleepMs(1'000);
+  body.write(text.substr(text.size() - 2));
+  head.write(text.substr(40));
+  const CallerAnswer atBody = body.read();
+  const CallerAnswer atHead = head.read();
+  failures.expect(isWhole(atBody) || isRefusal(atBody), "body", atBody);
+  failures.expect(isWhole(atHead) || isRefusal(atHead), "head", atHead);
+  LONGS_EQUAL(0, failures.count());
+  LONGS_EQUAL(0, fixture.Process.waitExit(std::chrono::seconds(9)));
+}
+
+TEST(Changes, ShutdownRefusesRequestsThatNeverBecomeWhole) {
+  const SlowServer server(10);
+  listAll(server);
+  CHECK(start("grace_s = 4"));
+  const std::string text = request("/write/x", "slow", "body");
+  KeptCaller caller(fixture.CallsAddress);
+  CHECK(isWhole(caller.call(request("/write/x", "a1"))));
+  fixture.Process.signal(SIGTERM);
+  sleepMs(2'000);
+  caller.write(text.substr(0, text.size() - 2));
+  CHECK(isRefusal(caller.read()));
+  CHECK(fixture.Process.waitExit(std::chrono::seconds(4)) >= 0);
+  LONGS_EQUAL(1, server.attempts());
+}
+
 TEST(Changes, CallsOutliveAChangeBesideAShutdown) {
   const SlowServer server(900);
   listAll(server);
@@ -648,3 +689,104 @@
   LONGS_EQUAL(0, failures.count());
   LONGS_EQUAL(0, fixture.Process.waitExit(std::chrono::seconds(9)));
 }
+
+// Each whole request gets its answer or a refusal, and no call that was refused
+// has run. ORIOLETALLY_SOAK_SEED and ORIOLETALLY_SOAK_MS choose other runs.
+TEST(Changes, EachCallIsAnsweredInASoak) {
+  constexpr int CallerCount = 16;
+  constexpr int ServersPerService = 3;
+  const auto seed =
+      static_cast<unsigned>(environmentNumber("ORIOLETALLY_SOAK_SEED", 1));
+  const int soakMs = environmentNumber("ORIOLETALLY_SOAK_MS", 3'000);
+  std::vector<std::unique_ptr<SilentNowAndThen>> servers;
+  const auto list = [&](int n, const char *state) {
+    for (const char *service : {"plain", "engine", "other"})
+      fixture.listBackend(fmt::format("{}-{}", service, n), service,
+                          servers[static_cast<size_t>(n)]->address(), state);
+  };
+  for (int n = 0; n < ServersPerService; ++n) {
+    servers.push_back(std::make_unique<SilentNowAndThen>(
+        seed * ServersPerService + static_cast<unsigned>(n)));
+    list(n, "ready");
+  }
+  CHECK(start());
+  const auto hasRun = [&](const std::string &id) {
+    return std::any_of(servers.begin(), servers.end(),
+                       [&](const auto &it) { return it->hasRun(id); });
+  };
+  std::atomic<bool> isStopping = false;
+  std::atomic<int> calls = 0;
+  std::atomic<int> refused = 0;
+  std::atomic<int> unread = 0;
+  std::mutex guard;
+  std::vector<std::string> notRun;
+  const auto callUntilGone = [&](int n) {
+    std::mt19937 random(seed * CallerCount + static_cast<unsigned>(n));
+    auto caller = std::make_unique<KeptCaller>(fixture.CallsAddress);
+    for (int k = 0; caller->isConnected(); ++k) {
+      const char *paths[] = {"/read/x", "/write/x", "/ask/x", "/once/x"};
+      const char *path = paths[random() % std::size(paths)];
+      const std::string id = fmt::format("s{}-{}", n, k);
+      const std::string text = request(path, id, "body");
+      const size_t first = 1 + random() % text.size();
+      caller->write(text.substr(0, first));
+      if (first < text.size())
+        sleepMs(static_cast<int>(random() % 100));
+      caller->write(text.substr(first));
+      ++calls;
+      const CallerAnswer answer = caller->read();
+      // A connection that ends as a request crosses; no server may have it.
+      const bool isUnread = isStopping && answer.Head.empty() && !hasRun(id);
+      const bool isRefused = answer.Complete && !hasRun(id) &&
+                             (isRefusal(answer) || answer.Status == 401 ||
+                              answer.Status == 404 || answer.Status == 429);
+      if (isUnread || isRefused) {
+        const std::lock_guard lock(guard);
+        notRun.push_back(id);
+      }
+      unread += isUnread ? 1 : 0;
+      refused += isRefused ? 1 : 0;
+      failures.expect(isWhole(answer) || isRefused || isUnread,
+                      fmt::format("seed {}: {} {}", seed, path, id), answer);
+      if (answer.Head.empty() || answer.header("connection") == "close")
+        caller = std::make_unique<KeptCaller>(fixture.CallsAddress);
+      sleepMs(static_cast<int>(random() % 50));
+    }
+  };
+  std::vector<std::thread> callers;
+  for (int n = 0; n < CallerCount; ++n)
+    callers.emplace_back(callUntilGone, n);
+
+  std::mt19937 random(seed);
+  const auto end = std::chrono::steady_clock::now() + milliseconds(soakMs);
+  while (std::chrono::steady_clock::now() < end) {
+    json config = baseConfig();
+    const auto &changes = configChanges();
+    const ConfigChange &change = changes[random() % changes.size()];
+    change.Apply(config);
+    putConfig(config);
+    if (random() % 3 == 0)
+      fixture.Process.signal(SIGHUP);
+    const int n = static_cast<int>(random() % ServersPerService);
+    list(n, "draining");
+    sleepMs(50 + static_cast<int>(random() % 300));
+    list(n, "ready");
+  }
+  putConfig(baseConfig());
+  isStopping = true;
+  fixture.Process.signal(SIGTERM);
+  for (std::thread &it : callers)
+    it.join();
+  CHECK(fixture.Process.waitExit(std::chrono::seconds(9)) >= 0);
+  fmt::print("seed {}: {} calls, {} refused, {} unread, {} failed\n", seed,
+             calls.load(), refused.load(), unread.load(), failures.count());
+  for (const std::string &id : notRun)
+    failures.expect(!hasRun(id), fmt::format("seed {}: {} ran later", seed, id),
+                    {});
+  const auto closed =
+      fixture.Process.waitEvent("connections_closed", std::chrono::seconds(1));
+  CHECK(closed.has_value());
+  LONGS_EQUAL(0, (*closed)["unanswered"].get<int>());
+  CHECK(fixture.Process.log().find("request_incomplete") == std::string::npos);
+  LONGS_EQUAL(0, failures.count());
+}
