Refuse calls on connections beyond the limit with 503

What callers saw: a connection beyond the node's limit on connections was closed without an answer.

Cause: it was closed when it was accepted. Up to 64 such connections at a time are now kept until the headers of their call have arrived, within a second, and get a 503 with Retry-After; the call hasn't run. Any others are closed as before, so that they can't use up the file descriptors.

The new test failed before, on: Failure in TEST(Changes, ConnectionsBeyondTheLimitAreRefusedInWords) CHECK(isRefusal(late.call(request("/read/x", "late")))) failed

--- a/drivers/relay/caller_session.cpp
+++ b/drivers/relay/caller_session.cpp
@@ -26,6 +26,10 @@
 constexpr absl::Duration RejectWriteTimeout = absl::Seconds(1);
 /// Retry-After of a call that was still being read when the process ended.
 constexpr int64_t DrainingRetryAfterMs = 200;
+/// Limit on the time to receive the headers of a call that is refused.
+constexpr absl::Duration RefusalReadTimeout = absl::Seconds(1);
+/// Retry-After of a call that is refused because of too many connections.
+constexpr int64_t RefusalRetryAfterMs = 500;
 
 std::chrono::nanoseconds toChrono(absl::Duration time) {
   return absl::ToChronoNanoseconds(time);
@@ -70,6 +74,29 @@
   Stream.close();
 }
 
+asio::awaitable<void> CallerSession::refuse() {
+  const auto self = shared_from_this();
+  loop::RequestParser parser;
+  parser.header_limit(limits().MaxHeaderBytes);
+  parser.body_limit(boost::none);
+  Stream.expires_after(toChrono(RefusalReadTimeout));
+  const auto [ec, n] =
+      co_await bhttp::async_read_header(Stream, Buffer, parser, AsTuple);
+  if (ec) {
+    Stream.close();
+    co_return;
+  }
+  const std::string id =
+      Context.Codec.decodeCall(headerViews(parser.get())).AttemptId;
+  co_await writeLast(errorResponse(
+      core::errors::RequestErrorBuilder(ErrorCode::Overloaded,
+                                        "this node has too many connections")
+          .rule("node.max_files")
+          .retryAfterMs(RefusalRetryAfterMs)
+          .build(),
+      id, Context.Codec));
+}
+
 asio::awaitable<bool> CallerSession::serveOne() {
   if (Buffer.size() == 0) {
     const bool hasData = co_await awaitFirstByte();
--- a/drivers/relay/caller_session.h
+++ b/drivers/relay/caller_session.h
@@ -19,6 +19,10 @@
 
   asio::awaitable<void> run();
 
+  /// Answers the connection's first call with a refusal, because the node has
+  /// too many connections, and closes it.
+  asio::awaitable<void> refuse();
+
   /// Closes the connection unless a call is in progress or has begun to arrive.
   void closeIfIdle();
 
--- a/drivers/relay/relay_server.cpp
+++ b/drivers/relay/relay_server.cpp
@@ -9,19 +9,27 @@
 
 namespace orioletally::drivers::relay {
 
+namespace {
+/// Connections beyond the limit that are answered with a refusal at the same
+/// time; any others are closed.
+constexpr size_t MaxRefusals = 64;
+} // namespace
+
 leaf::result<void> RelayServer::listenForCalls(const std::string &address,
                                                size_t maxSessions) {
   BOOST_LEAF_ASSIGN(Listener, loop::Listener::open(Context.Loop, address));
   Listener->start([this, maxSessions](asio::ip::tcp::socket socket) {
-    if (Sessions.size() >= maxSessions) {
+    const bool isFull = Sessions.size() >= maxSessions;
+    if (isFull)
       log::write(log::Level::Warn, "connection_refused",
                  {{"connections", Sessions.size()}});
+    if (isFull && Refusals >= MaxRefusals)
       return;
-    }
-    asio::co_spawn(
-        Context.Loop,
-        serveCalls(std::make_shared<CallerSession>(Context, std::move(socket))),
-        asio::detached);
+    auto session = std::make_shared<CallerSession>(Context, std::move(socket));
+    asio::co_spawn(Context.Loop,
+                   isFull ? refuseCall(std::move(session))
+                          : serveCalls(std::move(session)),
+                   asio::detached);
   });
   return {};
 }
@@ -49,6 +57,13 @@
     Listener->close();
 }
 
+asio::awaitable<void>
+RelayServer::refuseCall(std::shared_ptr<CallerSession> session) {
+  ++Refusals;
+  co_await session->refuse();
+  --Refusals;
+}
+
 asio::awaitable<void>
 RelayServer::serveCalls(std::shared_ptr<CallerSession> session) {
   const auto it = Sessions.insert(Sessions.end(), session);
--- a/drivers/relay/relay_server.h
+++ b/drivers/relay/relay_server.h
@@ -17,8 +17,9 @@
 public:
   explicit RelayServer(RelayContext &context) : Context(context) {}
 
-  /// Listens for callers on \p address ("ip:port") and closes new connections
-  /// while \p maxSessions are open. Fails with loop::ListenError.
+  /// Listens for callers on \p address ("ip:port") and refuses the calls of
+  /// new connections while \p maxSessions are open. Fails with
+  /// loop::ListenError.
   boost::leaf::result<void> listenForCalls(const std::string &address,
                                            size_t maxSessions);
 
@@ -38,11 +39,14 @@
   void stopAccepting();
 
 private:
+  asio::awaitable<void> refuseCall(std::shared_ptr<CallerSession> session);
   asio::awaitable<void> serveCalls(std::shared_ptr<CallerSession> session);
 
   RelayContext &Context;
   std::shared_ptr<loop::Listener> Listener;
   std::list<std::shared_ptr<CallerSession>> Sessions;
+  /// Connections beyond the limit that are being refused.
+  size_t Refusals = 0;
 };
 
 } // namespace orioletally::drivers::relay
--- a/tests/platform/test_changes.cpp
+++ b/tests/platform/test_changes.cpp
@@ -690,6 +690,20 @@
   LONGS_EQUAL(0, fixture.Process.waitExit(std::chrono::seconds(9)));
 }
 
+TEST(Changes, ConnectionsBeyondTheLimitAreRefusedInWords) {
+  const SlowServer server(10);
+  listAll(server);
+  CHECK(start("max_files = 256"));
+  std::vector<std::unique_ptr<KeptCaller>> callers;
+  for (int n = 0; n < 16; ++n) {
+    callers.push_back(std::make_unique<KeptCaller>(fixture.CallsAddress));
+    CHECK(isWhole(
+        callers.back()->call(request("/read/x", fmt::format("a{}", n)))));
+  }
+  KeptCaller late(fixture.CallsAddress);
+  CHECK(isRefusal(late.call(request("/read/x", "late"))));
+}
+
 // Each whole request gets its answer or a refusal, and no call that was refused
 // has run. ORIOLETALLY_SOAK_SEED and ORIOLETALLY_SOAK_MS choose other runs.
 TEST(Changes, EachCallIsAnsweredInASoak) {
