Show that a slow caller makes its backend server look silent

What callers saw: a stream is cut when its caller doesn't take it for longer than the silence timeout, and then goes on reading.

Cause: bytes of the backend server aren't read while a write to the caller blocks, but the silence is counted from the last byte before the write. The timer fires as soon as the write ends, before the waiting bytes are read.

--- a/tests/platform/test_changes.cpp
+++ b/tests/platform/test_changes.cpp
@@ -704,6 +704,38 @@
   CHECK(isRefusal(late.call(request("/read/x", "late"))));
 }
 
+// While a caller doesn't take its answer, the backend server's bytes aren't
+// read; that isn't the server's silence.
+TEST(Changes, SlowCallerDoesNotMakeItsServerSilent) {
+  constexpr int Large = 400;
+  const StandInBackend::Script refuse =
+      scripts::bytes("HTTP/1.1 503 X\r\nX-Orioletally-Attempt-Id: {id}\r\n"
+                     "X-Orioletally-Not-Executed: 1\r\n"
+                     "Content-Length: 0\r\n\r\n",
+                     false);
+  std::atomic<int> attempts = 0;
+  const StandInBackend server(
+      [&](const RawRequest &call, const RawConnection &out) {
+        if (++attempts > 1)
+          return refuse(call, out);
+        out.write(answerHead(call, StreamHead));
+        for (int id = 1; id <= Large; ++id)
+          out.write(chunk(event(id, LargeEventBytes)));
+        out.write("0\r\n\r\n");
+        return true;
+      });
+  fixture.listBackend("engine-0", "engine", server.address());
+  fixture.listBackend("engine-1", "engine", server.address());
+  CHECK(start());
+  KeptCaller caller(fixture.CallsAddress);
+  caller.write(request("/ask/x", "slow"));
+  sleepMs(2'500);
+  const std::string received = caller.readAll(2'000);
+  CHECK(fixture.Process.log().find("\"silence\"") == std::string::npos);
+  LONGS_EQUAL(1, attempts);
+  CHECK(received.ends_with("\r\n0\r\n\r\n"));
+}
+
 // Each whole request gets its answer or a refusal, and no call that was refused
 // has run. ORIOLETALLY_SOAK_SEED and ORIOLETALLY_SOAK_MS choose other runs.
 TEST(Changes, EachCallIsAnsweredInASoak) {
