--- a/drivers/relay/caller_session.cpp
+++ b/drivers/relay/caller_session.cpp
@@ -13,6 +13,7 @@
 
 namespace {
 
+using core::errors::ErrorCode;
 using loop::AsTuple;
 
 constexpr size_t ReadBytes = 16 << 10;
@@ -23,6 +24,12 @@
 constexpr size_t LingerBytes = 256 << 10;
 /// Limit on the time to send the answer to a rejected request.
 constexpr absl::Duration RejectWriteTimeout = absl::Seconds(1);
+/// Retry-After of a call that was still being read when the process ended.
+constexpr int64_t DrainingRetryAfterMs = 200;
+/// Limit on the time to receive the headers of a call that is refused.
+constexpr absl::Duration RefusalReadTimeout = absl::Seconds(1);
+/// Retry-After of a call that is refused because of too many connections.
+constexpr int64_t RefusalRetryAfterMs = 500;
 
 std::chrono::nanoseconds toChrono(absl::Duration time) {
   return absl::ToChronoNanoseconds(time);
@@ -53,7 +60,7 @@
 
 CallerSession::CallerSession(RelayContext &context,
                              asio::ip::tcp::socket socket)
-    : Context(context), Stream(std::move(socket)) {
+    : Context(context), Stream(std::move(socket)), IdleTimer(context.Loop) {
   boost::system::error_code ignored;
   // With Nagle's algorithm, small events wait until earlier ones are
   // acknowledged.
@@ -67,19 +74,37 @@
   Stream.close();
 }
 
+asio::awaitable<void> CallerSession::refuse() {
+  const auto self = shared_from_this();
+  loop::RequestParser parser;
+  parser.header_limit(limits().MaxHeaderBytes);
+  parser.body_limit(boost::none);
+  Stream.expires_after(toChrono(RefusalReadTimeout));
+  const auto [ec, n] =
+      co_await bhttp::async_read_header(Stream, Buffer, parser, AsTuple);
+  if (ec) {
+    Stream.close();
+    co_return;
+  }
+  const std::string id =
+      Context.Codec.decodeCall(headerViews(parser.get())).AttemptId;
+  co_await writeLast(errorResponse(
+      core::errors::RequestErrorBuilder(ErrorCode::Overloaded,
+                                        "this node has too many connections")
+          .rule("node.max_files")
+          .retryAfterMs(RefusalRetryAfterMs)
+          .build(),
+      id, Context.Codec));
+}
+
 asio::awaitable<bool> CallerSession::serveOne() {
-  const auto config = Context.Dispatcher.config();
-  const core::routes::CallerLimits limits =
-      config == nullptr ? core::routes::CallerLimits{} : config->limits();
   if (Buffer.size() == 0) {
-    const bool hasData = co_await awaitFirstByte(limits.IdleTimeout);
+    const bool hasData = co_await awaitFirstByte();
     if (!hasData) {
       co_return false;
     }
   }
-  IsReading = true;
-  std::optional<CallRequest> request = co_await readRequest(limits);
-  IsReading = false;
+  std::optional<CallRequest> request = co_await readRequest();
   if (!request.has_value())
     co_return false;
   Stream.expires_never();
@@ -96,6 +121,11 @@
   co_return isKeptOpen;
 }
 
+core::routes::CallerLimits CallerSession::limits() const {
+  const auto config = Context.Dispatcher.config();
+  return config == nullptr ? core::routes::CallerLimits{} : config->limits();
+}
+
 void CallerSession::closeIfIdle() {
   boost::system::error_code ec;
   // A call whose first bytes have arrived is still read and answered.
@@ -111,34 +141,71 @@
 void CallerSession::abortCall() {
   if (const auto runner = Running.lock())
     runner->giveUp();
+  if (!IsReading)
+    return;
+  IsEnding = true;
+  Stream.cancel();
 }
 
-asio::awaitable<bool> CallerSession::awaitFirstByte(absl::Duration timeout) {
-  Stream.expires_after(toChrono(timeout));
+asio::awaitable<bool> CallerSession::awaitFirstByte() {
+  Stream.expires_never();
   Idle = true;
+  armIdleTimer({clock::steadyNow(), limits().IdleTimeout});
   const auto [ec, n] =
       co_await Stream.async_read_some(Buffer.prepare(ReadBytes), AsTuple);
   Idle = false;
+  IdleTimer.cancel();
   Buffer.commit(n);
   co_return !ec;
 }
 
-asio::awaitable<std::optional<CallRequest>>
-CallerSession::readRequest(const core::routes::CallerLimits &limits) {
+void CallerSession::armIdleTimer(core::relay::IdleWait wait) {
+  IdleTimer.expires_at(clock::waitDeadline(wait.endsAt(), clock::steadyNow()));
+  IdleTimer.async_wait(
+      [self = shared_from_this(), wait](boost::system::error_code ec) mutable {
+        if (ec || !self->Idle)
+          return;
+        if (wait.isOver(clock::steadyNow(), self->limits().IdleTimeout))
+          self->closeIfIdle();
+        else
+          self->armIdleTimer(wait);
+      });
+}
+
+asio::awaitable<std::optional<CallRequest>> CallerSession::readRequest() {
+  const core::routes::CallerLimits inForce = limits();
   loop::RequestParser parser;
-  parser.header_limit(limits.MaxHeaderBytes);
-  parser.body_limit(limits.MaxBodyBytes);
-  Stream.expires_after(toChrono(limits.HeaderTimeout));
+  parser.header_limit(inForce.MaxHeaderBytes);
+  parser.body_limit(inForce.MaxBodyBytes);
+  Stream.expires_after(toChrono(inForce.HeaderTimeout));
+  IsReading = true;
   const boost::system::error_code readError = co_await loop::readRequest(
       Stream, Buffer, parser, isAmbiguous, toChrono(BodyReadTimeout));
+  IsReading = false;
   if (readError) {
-    co_await reject(readError);
+    co_await reject(readError, parser.get());
     co_return std::nullopt;
   }
   co_return parser.release();
 }
 
-asio::awaitable<void> CallerSession::reject(boost::system::error_code ec) {
+asio::awaitable<void> CallerSession::reject(boost::system::error_code ec,
+                                            const loop::RequestMessage &head) {
+  if (IsEnding && ec == asio::error::operation_aborted) {
+    log::write(log::Level::Info, "call_rejected",
+               {{"status", core::errors::httpStatus(ErrorCode::Draining)},
+                {"reason", ec.message()}});
+    const std::string id =
+        Context.Codec.decodeCall(headerViews(head)).AttemptId;
+    co_await writeLast(
+        errorResponse(core::errors::RequestErrorBuilder(
+                          ErrorCode::Draining, "this node is shutting down")
+                          .rule("SIGTERM")
+                          .retryAfterMs(DrainingRetryAfterMs)
+                          .build(),
+                      id, Context.Codec));
+    co_return;
+  }
   const std::optional<bhttp::status> status = rejectionStatus(ec);
   if (!status.has_value()) {
     log::write(log::Level::Info, "request_incomplete",
@@ -147,10 +214,14 @@
   }
   log::write(log::Level::Info, "call_rejected",
              {{"status", static_cast<int>(*status)}, {"reason", ec.message()}});
-  bhttp::response<bhttp::string_body> response(*status, 11);
-  response.set(bhttp::field::connection, "close");
+  PlainResponse response(*status, 11);
   response.body() = ec.message();
   response.prepare_payload();
+  co_await writeLast(std::move(response));
+}
+
+asio::awaitable<void> CallerSession::writeLast(PlainResponse response) {
+  response.set(bhttp::field::connection, "close");
   Stream.expires_after(toChrono(RejectWriteTimeout));
   co_await bhttp::async_write(Stream, response, AsTuple);
   co_await loop::lingeringClose(Stream, Buffer, LingerBytes);
