--- a/drivers/relay/attempt_runner.cpp
+++ b/drivers/relay/attempt_runner.cpp
@@ -94,7 +94,7 @@
               {"predicted_ms",
                absl::ToInt64Milliseconds(Target.PredictedFirstToken)}});
   StartedAt = now;
-  LastEventAt = now;
+  SilentSince = now;
   Context.Dispatcher.sent(Target, now);
 }
 
@@ -466,20 +466,18 @@
   if (!IsPromptSound && Target.FirstTokenAt.has_value())
     IsPromptSound =
         Context.Guard.recordProgress(Call.CrashSuspects, *Target.FirstTokenAt);
-  LastEventAt = now;
   Context.Dispatcher.answerBytesReceived(Target, now);
   if (IsDoubted)
     Target.Server->Health.observe(core::fleet::HealthSignal::Good, now);
-  IsDoubted = false;
-  setSilenceTimeout(core::relay::eventGapTimeout(*Call.Route));
 }
 
 asio::awaitable<bool> AttemptRunner::forward(std::string events) {
-  const absl::Time silenceEnd = Timer.end();
   beginForwarding(clock::steadyNow());
   const bool isDone = co_await Listener.deliverEvents(*this, std::move(events));
   step(AttemptStep::EventsTaken);
-  Timer.setEnd(silenceEnd);
+  // While the caller took its events, nothing was read from the server.
+  SilentSince = clock::steadyNow();
+  setSilenceTimeout(core::relay::eventGapTimeout(*Call.Route));
   co_return isDone && !isStopped();
 }
 
@@ -513,7 +511,7 @@
 
 void AttemptRunner::setSilenceTimeout(absl::Duration timeout) {
   SilenceTimeout = timeout;
-  Timer.setEnd(LastEventAt + timeout);
+  Timer.setEnd(SilentSince + timeout);
 }
 
 void AttemptRunner::onTimeout(absl::Time now) {
@@ -535,10 +533,10 @@
 }
 
 void AttemptRunner::onSilence(absl::Time now) {
-  const absl::Duration silent = now - LastEventAt;
+  const absl::Duration silent = now - SilentSince;
   if (!core::relay::isConnectionLost(silent, SilenceTimeout,
                                      now - Target.Server->LastReceivedAt)) {
-    Timer.setEnd(LastEventAt + SilenceTimeout + silent);
+    Timer.setEnd(SilentSince + SilenceTimeout + silent);
     return;
   }
   IsDoubted = true;
--- a/drivers/relay/attempt_runner.h
+++ b/drivers/relay/attempt_runner.h
@@ -185,8 +185,9 @@
   std::vector<std::shared_ptr<MemoryLease>> Leases;
   std::unique_ptr<BackendChannel> Channel;
   absl::Time StartedAt;
-  /// When events of the stream last arrived; initially the attempt's start.
-  absl::Time LastEventAt;
+  /// Since when the attempt waits for events: when the last ones were
+  /// delivered, or the attempt's start.
+  absl::Time SilentSince;
   absl::Duration SilenceTimeout = absl::InfiniteDuration();
   /// Set when the attempt is ended early.
   std::optional<core::relay::AttemptEnd> Stopped;
--- a/drivers/relay/phase_timer.h
+++ b/drivers/relay/phase_timer.h
@@ -22,8 +22,6 @@
   /// Sets when the wait in progress ends; infinite future for never.
   void setEnd(absl::Time end);
 
-  absl::Time end() const { return End; }
-
 private:
   void arm();
   void onExpiry();
