Bound what callers and backend servers make a node keep

Cause: each body, answer and event has a bound, their sum has none, and the limit that the platform names wasn't read.

Change: node.memory_mb (limits.memory_mb) sets the budget of one account, which heads and bodies of requests, plain answers and incomplete events ask before they are kept. A body with a length is counted before it is read. An answer that is refused ends its attempt as too_large, which may have run. Metrics orioletally_memory_*, log line memory_refused.

--- a/core/errors/request_error.cpp
+++ b/core/errors/request_error.cpp
@@ -13,7 +13,7 @@
   int Status;
 };
 
-constexpr std::array<CodeRow, 20> CodeTable = {{
+constexpr std::array<CodeRow, 21> CodeTable = {{
     {ErrorCode::BadRequest, "bad_request", 400},
     {ErrorCode::Unauthorized, "unauthorized", 401},
     {ErrorCode::Forbidden, "forbidden", 403},
@@ -32,6 +32,7 @@
     {ErrorCode::PlatformUnavailable, "platform_unavailable", 503},
     {ErrorCode::PromptQuarantined, "prompt_quarantined", 503},
     {ErrorCode::CallQuarantined, "call_quarantined", 503},
+    {ErrorCode::MemoryFull, "memory_full", 503},
     {ErrorCode::CallerGone, "caller_gone", 499},
     {ErrorCode::Internal, "internal", 500},
 }};
--- a/core/errors/request_error.h
+++ b/core/errors/request_error.h
@@ -31,6 +31,7 @@
   PlatformUnavailable,
   PromptQuarantined,
   CallQuarantined,
+  MemoryFull,
   CallerGone,
   Internal,
 };
--- a/core/limits/memory_account.cpp
+++ b/core/limits/memory_account.cpp
@@ -13,7 +13,7 @@
     "plain_answer", "event",        "store_answer"};
 
 /// Steps in which cover() grows.
-constexpr size_t StepBytes = 16 << 10;
+constexpr size_t StepBytes = 4 << 10;
 /// Memory of a process that holds nothing for outsiders.
 constexpr size_t BaseBytes = 48 << 20;
 /// Fraction of the remaining memory that is handed out. The rest is for unused
--- a/core/relay/attempt_policy.cpp
+++ b/core/relay/attempt_policy.cpp
@@ -7,10 +7,10 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 11> EndNames = {
-    "answered", "failed",      "refused",    "wrong_backend",
-    "not_sent", "no_memory",   "broken",     "stalled",
-    "garbled",  "out_of_time", "caller_gone"};
+constexpr std::array<std::string_view, 12> EndNames = {
+    "answered", "failed",      "refused",     "wrong_backend",
+    "not_sent", "no_memory",   "broken",      "stalled",
+    "garbled",  "out_of_time", "caller_gone", "too_large"};
 
 /// No attempt is retried with less time than this before the deadline: about
 /// one round trip between availability zones and the work of a short call.
@@ -44,6 +44,7 @@
     return fleet::HealthSignal::Good;
   case AttemptEnd::Failed:
   case AttemptEnd::Garbled:
+  case AttemptEnd::TooLarge:
     return fleet::HealthSignal::Failed;
   case AttemptEnd::Refused:
     return fleet::HealthSignal::Full;
--- a/core/relay/attempt_policy.h
+++ b/core/relay/attempt_policy.h
@@ -38,6 +38,8 @@
   OutOfTime,
   /// The caller has disconnected.
   CallerGone,
+  /// The answer exceeded the memory that this node had left for it.
+  TooLarge,
 };
 
 /// Returns the name of \p end in logs and metrics.
--- a/core/relay/event_stream.h
+++ b/core/relay/event_stream.h
@@ -40,6 +40,9 @@
   /// this state has broken off, however its body was framed.
   bool isInsideEvent() const { return !Partial.empty(); }
 
+  /// Returns the number of bytes buffered of an incomplete event.
+  size_t bufferedBytes() const { return Partial.size(); }
+
   /// Returns and clears the buffered bytes that no delimiter follows, for
   /// bodies that don't consist of events.
   std::string takeRest();
--- a/drivers/loop/connection_end.cpp
+++ b/drivers/loop/connection_end.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr auto LingerTimeout = std::chrono::seconds(1);
 constexpr size_t ReadBytes = 16 << 10;
 
 } // namespace
@@ -31,10 +30,11 @@
 
 asio::awaitable<void> lingeringClose(beast::tcp_stream &stream,
                                      beast::flat_buffer &buffer,
-                                     size_t maxBytes) {
+                                     size_t maxBytes,
+                                     std::chrono::nanoseconds timeout) {
   boost::system::error_code ignored;
   stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-  stream.expires_after(LingerTimeout);
+  stream.expires_after(timeout);
   for (size_t total = 0; total < maxBytes;) {
     buffer.clear();
     const auto [ec, n] =
--- a/drivers/loop/connection_end.h
+++ b/drivers/loop/connection_end.h
@@ -20,12 +20,13 @@
 void watchPeer(asio::ip::tcp::socket &socket, std::function<void()> onGone);
 
 /// Closes \p stream after an answer to a request that wasn't read completely.
-/// Before that, reads and discards about \p maxBytes at most, for up to a
-/// second, because closing with unread bytes resets the connection and may lose
-/// the answer.
-asio::awaitable<void> lingeringClose(beast::tcp_stream &stream,
-                                     beast::flat_buffer &buffer,
-                                     size_t maxBytes);
+/// Before that, reads and discards about \p maxBytes at most, for up to
+/// \p timeout, because closing with unread bytes resets the connection and may
+/// lose the answer.
+asio::awaitable<void>
+lingeringClose(beast::tcp_stream &stream, beast::flat_buffer &buffer,
+               size_t maxBytes,
+               std::chrono::nanoseconds timeout = std::chrono::seconds(1));
 
 /// Closes \p socket with a TCP reset. The peer can't take this for the end of a
 /// body that ends with its connection.
--- a/drivers/loop/request_reader.cpp
+++ b/drivers/loop/request_reader.cpp
@@ -1,11 +1,18 @@
 #include "drivers/loop/request_reader.h"
 
+#include "drivers/clock/clock.h"
+
 namespace orioletally::drivers::loop {
 
+boost::system::error_code memoryFull() {
+  return make_error_code(boost::system::errc::not_enough_memory);
+}
+
 asio::awaitable<boost::system::error_code>
 readRequest(beast::tcp_stream &stream, beast::flat_buffer &buffer,
             RequestParser &parser, HeadCheck isRejected,
-            std::optional<std::chrono::nanoseconds> bodyTimeout) {
+            std::optional<std::chrono::nanoseconds> bodyTimeout,
+            core::limits::MemoryGrant *memory) {
   const auto [headError, headBytes] =
       co_await bhttp::async_read_header(stream, buffer, parser, AsTuple);
   if (headError) {
@@ -14,6 +21,10 @@
   if (isRejected(parser.get())) {
     co_return bhttp::make_error_code(bhttp::error::bad_field);
   }
+  if (memory != nullptr &&
+      !memory->cover(parser.content_length().value_or(0), clock::steadyNow())) {
+    co_return memoryFull();
+  }
   if (beast::iequals(parser.get()[bhttp::field::expect], "100-continue")) {
     const bhttp::response<bhttp::empty_body> proceed(bhttp::status::continue_,
                                                      11);
@@ -27,9 +38,18 @@
   }
   if (bodyTimeout.has_value())
     stream.expires_after(*bodyTimeout);
-  const auto [bodyError, bodyBytes] =
-      co_await bhttp::async_read(stream, buffer, parser, AsTuple);
-  co_return bodyError;
+  while (!parser.is_done()) {
+    const auto [ec, n] =
+        co_await bhttp::async_read_some(stream, buffer, parser, AsTuple);
+    if (ec) {
+      co_return ec;
+    }
+    if (memory != nullptr &&
+        !memory->cover(parser.get().body().size(), clock::steadyNow())) {
+      co_return memoryFull();
+    }
+  }
+  co_return boost::system::error_code();
 }
 
 } // namespace orioletally::drivers::loop
--- a/drivers/metrics/relay_metrics.cpp
+++ b/drivers/metrics/relay_metrics.cpp
@@ -95,7 +95,16 @@
       RefusedConnections(
           gauge(Registry, "orioletally_peer_strangers",
                 "Connections to the peer port that were refused because the "
-                "peer lacked the key.")) {}
+                "peer lacked the key.")),
+      MemoryInUse(gauge(Registry, "orioletally_memory_bytes",
+                        "Memory held for callers, backend servers and the "
+                        "store.")),
+      MemoryHighest(gauge(Registry, "orioletally_memory_highest_bytes",
+                          "Highest value of orioletally_memory_bytes.")),
+      MemoryRefused(BuildGauge()
+                        .Name("orioletally_memory_refused")
+                        .Help("Refusals for lack of memory, by use.")
+                        .Register(Registry)) {}
 
 void RelayMetrics::callEnded(std::string_view kind, int status,
                              absl::Duration time) {
@@ -169,6 +178,16 @@
   RefusedConnections.Set(static_cast<double>(n));
 }
 
+void RelayMetrics::setMemory(const core::limits::MemoryAccount &account) {
+  MemoryInUse.Set(static_cast<double>(account.inUse()));
+  MemoryHighest.Set(static_cast<double>(account.highest()));
+  for (size_t n = 0; n < core::limits::MemoryUseCount; ++n) {
+    const auto use = static_cast<core::limits::MemoryUse>(n);
+    MemoryRefused.Add({{"use", std::string(core::limits::memoryUseName(use))}})
+        .Set(static_cast<double>(account.refused(use)));
+  }
+}
+
 std::string RelayMetrics::text() {
   return prometheus::TextSerializer().Serialize(Registry.Collect());
 }
--- a/drivers/metrics/relay_metrics.h
+++ b/drivers/metrics/relay_metrics.h
@@ -1,6 +1,8 @@
 #ifndef ORIOLETALLY_DRIVERS_METRICS_RELAY_METRICS_H
 #define ORIOLETALLY_DRIVERS_METRICS_RELAY_METRICS_H
 
+#include "core/limits/memory_account.h"
+
 #include <absl/time/time.h>
 #include <memory>
 #include <prometheus/counter.h>
@@ -43,6 +45,7 @@
   void setNodes(int64_t n);
   void setLogLinesDropped(uint64_t n);
   void setRefusedConnections(int64_t n);
+  void setMemory(const core::limits::MemoryAccount &account);
 
   /// Returns all metrics in the Prometheus text format.
   std::string text();
@@ -67,6 +70,9 @@
   prometheus::Gauge &Nodes;
   prometheus::Gauge &LogLinesDropped;
   prometheus::Gauge &RefusedConnections;
+  prometheus::Gauge &MemoryInUse;
+  prometheus::Gauge &MemoryHighest;
+  prometheus::Family<prometheus::Gauge> &MemoryRefused;
 };
 
 } // namespace orioletally::drivers::metrics
--- a/drivers/relay/call_runner.cpp
+++ b/drivers/relay/call_runner.cpp
@@ -552,6 +552,8 @@
 
 asio::awaitable<AttemptEnd> CallRunner::readPlain(AnswerParser &parser,
                                                   bool isFailure) {
+  core::limits::MemoryGrant memory(Context.Memory,
+                                   core::limits::MemoryUse::PlainAnswer);
   std::string body;
   std::array<char, ReadBufferBytes> buf{};
   while (!parser.is_done()) {
@@ -565,7 +567,10 @@
                                     : interruptedEnd(true);
     if (body.size() > Context.Limits.MaxAnswerBytes)
       co_return AttemptEnd::Garbled;
+    if (!memory.cover(body.size(), clock::steadyNow()))
+      co_return AttemptEnd::TooLarge;
   }
+  AnswerMemory = std::move(memory);
   bufferAnswer(parser.get(), std::move(body));
   returnChannel(parser);
   co_return isFailure ? AttemptEnd::Failed : AttemptEnd::Answered;
@@ -621,6 +626,8 @@
 
 asio::awaitable<AttemptEnd> CallRunner::relayEvents(AnswerParser &parser,
                                                     Dispatch &dispatch) {
+  core::limits::MemoryGrant memory(Context.Memory,
+                                   core::limits::MemoryUse::Event);
   std::array<char, ReadBufferBytes> buf{};
   while (!parser.is_done()) {
     parser.get().body().data = buf.data();
@@ -650,6 +657,8 @@
     }
     if (Events.isOverlong())
       co_return AttemptEnd::Garbled;
+    if (!memory.cover(Events.bufferedBytes(), clock::steadyNow()))
+      co_return AttemptEnd::TooLarge;
     if (ec && ec != bhttp::error::need_buffer)
       co_return isProtocolError(ec) ? AttemptEnd::Garbled
                                     : interruptedEnd(true);
--- a/drivers/relay/call_runner.h
+++ b/drivers/relay/call_runner.h
@@ -184,6 +184,8 @@
   /// The answer to write at the end unless a stream is delivered: a backend
   /// server's complete answer or this node's own error.
   std::optional<PlainResponse> BufferedAnswer;
+  /// Memory of the body of BufferedAnswer.
+  core::limits::MemoryGrant AnswerMemory;
   /// The head of a streamed answer until it is written.
   std::optional<bhttp::response<bhttp::empty_body>> StreamHead;
   std::vector<AttemptRecord> Attempts;
--- a/drivers/relay/caller_session.cpp
+++ b/drivers/relay/caller_session.cpp
@@ -21,6 +21,8 @@
 /// Limit on the bytes that are read from a caller and discarded before its
 /// connection is closed.
 constexpr size_t LingerBytes = 256 << 10;
+/// Retry-After of a call that was refused for lack of memory.
+constexpr int64_t MemoryRetryAfterMs = 500;
 /// Limit on the time to send the answer to a rejected request.
 constexpr absl::Duration RejectWriteTimeout = absl::Seconds(1);
 
@@ -77,7 +79,15 @@
       co_return false;
     }
   }
-  std::optional<CallRequest> request = co_await readRequest(limits);
+  core::limits::MemoryGrant headMemory(Context.Memory,
+                                       core::limits::MemoryUse::RequestHead);
+  core::limits::MemoryGrant bodyMemory(Context.Memory,
+                                       core::limits::MemoryUse::RequestBody);
+  if (!headMemory.cover(Buffer.capacity(), clock::steadyNow())) {
+    co_await refuse({}, limits.MaxBodyBytes);
+    co_return false;
+  }
+  std::optional<CallRequest> request = co_await readRequest(limits, bodyMemory);
   if (!request.has_value())
     co_return false;
   Stream.expires_never();
@@ -117,13 +127,21 @@
 }
 
 asio::awaitable<std::optional<CallRequest>>
-CallerSession::readRequest(const core::routes::CallerLimits &limits) {
+CallerSession::readRequest(const core::routes::CallerLimits &limits,
+                           core::limits::MemoryGrant &bodyMemory) {
   loop::RequestParser parser;
   parser.header_limit(limits.MaxHeaderBytes);
   parser.body_limit(limits.MaxBodyBytes);
   Stream.expires_after(toChrono(limits.HeaderTimeout));
-  const boost::system::error_code readError = co_await loop::readRequest(
-      Stream, Buffer, parser, isAmbiguous, toChrono(BodyReadTimeout));
+  const boost::system::error_code readError =
+      co_await loop::readRequest(Stream, Buffer, parser, isAmbiguous,
+                                 toChrono(BodyReadTimeout), &bodyMemory);
+  if (readError == loop::memoryFull()) {
+    parser.get().body() = std::string();
+    bodyMemory.release();
+    co_await refuse(parser.get(), limits.MaxBodyBytes);
+    co_return std::nullopt;
+  }
   if (readError) {
     co_await reject(readError);
     co_return std::nullopt;
@@ -146,6 +164,31 @@
   co_await loop::lingeringClose(Stream, Buffer, LingerBytes);
 }
 
+asio::awaitable<void> CallerSession::refuse(const bhttp::request_header<> &head,
+                                            size_t maxBodyBytes) {
+  const std::string id = Context.Codec.decodeCall(headerViews(head)).AttemptId;
+  const core::errors::RequestError error =
+      core::errors::RequestErrorBuilder(core::errors::ErrorCode::MemoryFull,
+                                        "this node has no memory for the call")
+          .rule("node.memory_mb")
+          .retryAfterMs(MemoryRetryAfterMs)
+          .build();
+  const std::string code(core::errors::errorCodeName(error.Code));
+  bhttp::response<bhttp::string_body> response =
+      errorResponse(error, id, Context.Codec);
+  log::write(log::Level::Info, "call_rejected",
+             {{"id", id},
+              {"status", static_cast<int>(response.result_int())},
+              {"reason", code}});
+  Context.Metrics.localErrorSent(code);
+  response.set(bhttp::field::connection, "close");
+  Stream.expires_after(toChrono(RejectWriteTimeout));
+  co_await bhttp::async_write(Stream, response, AsTuple);
+  // Most clients read the answer only after they have sent the whole body.
+  co_await loop::lingeringClose(Stream, Buffer, maxBodyBytes + LingerBytes,
+                                toChrono(BodyReadTimeout));
+}
+
 void CallerSession::watchCaller(const std::shared_ptr<CallRunner> &runner) {
   loop::watchPeer(Stream.socket(), [self = shared_from_this(),
                                     weak = std::weak_ptr<CallRunner>(runner)] {
--- a/drivers/relay/caller_session.h
+++ b/drivers/relay/caller_session.h
@@ -27,8 +27,12 @@
   asio::awaitable<bool> serveOne();
   asio::awaitable<bool> awaitFirstByte(absl::Duration timeout);
   asio::awaitable<std::optional<CallRequest>>
-  readRequest(const core::routes::CallerLimits &limits);
+  readRequest(const core::routes::CallerLimits &limits,
+              core::limits::MemoryGrant &bodyMemory);
   asio::awaitable<void> reject(boost::system::error_code ec);
+  /// Answers the call with the head \p head that there is no memory for it.
+  asio::awaitable<void> refuse(const bhttp::request_header<> &head,
+                               size_t maxBodyBytes);
   void watchCaller(const std::shared_ptr<CallRunner> &runner);
 
   RelayContext &Context;
--- a/drivers/relay/relay_context.h
+++ b/drivers/relay/relay_context.h
@@ -2,6 +2,7 @@
 #define ORIOLETALLY_DRIVERS_RELAY_RELAY_CONTEXT_H
 
 #include "core/charts/state_chart.h"
+#include "core/limits/memory_account.h"
 #include "core/relay/call_head.h"
 #include "core/relay/dispatcher.h"
 #include "core/relay/event_stream.h"
@@ -40,6 +41,8 @@
   /// have been read.
   StartGate &Gate;
   PromptGuard &Guard;
+  /// Limits what callers and backend servers make this node keep.
+  core::limits::MemoryAccount &Memory;
   ChannelPool Channels;
   /// When SIGTERM was received; infinite future before that.
   absl::Time DrainingSince = absl::InfiniteFuture();
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -48,6 +48,7 @@
 /// Concurrent connections to a status page: load balancer, metrics collector,
 /// people.
 constexpr size_t MaxStatusConnections = 32;
+constexpr size_t BytesPerMb = 1 << 20;
 constexpr int StatusOk = 200;
 constexpr int StatusUnavailable = 503;
 
@@ -95,6 +96,11 @@
   return result;
 }
 
+size_t memoryFor(const FieldValues &settings) {
+  return core::limits::memoryBudget(
+      static_cast<size_t>(settings.integer("node.memory_mb")) * BytesPerMb);
+}
+
 drivers::relay::AnswerLimits answerLimits(const FieldValues &settings) {
   drivers::relay::AnswerLimits result;
   result.MaxAnswerBytes =
@@ -154,22 +160,23 @@
         SettingsFile &file)
       : Settings(values), File(file), CallChart(std::move(chart)),
         Calls(dispatcherSettings(values, incarnation)),
-        Start(Loop, drivers::clock::steadyNow()),
-        Guard(Loop, Metrics), Context{Loop,
-                                      Calls,
-                                      Codec,
-                                      Metrics,
-                                      CallChart,
-                                      Start,
-                                      Guard,
-                                      {},
-                                      absl::InfiniteFuture(),
-                                      0,
-                                      answerLimits(values),
-                                      [this] { Peers.announceLeaving(); },
-                                      [this](const auto &server) {
-                                        announceLimit(server);
-                                      }},
+        Start(Loop, drivers::clock::steadyNow()), Guard(Loop, Metrics),
+        Memory(memoryFor(values)), Context{Loop,
+                                           Calls,
+                                           Codec,
+                                           Metrics,
+                                           CallChart,
+                                           Start,
+                                           Guard,
+                                           Memory,
+                                           {},
+                                           absl::InfiniteFuture(),
+                                           0,
+                                           answerLimits(values),
+                                           [this] { Peers.announceLeaving(); },
+                                           [this](const auto &server) {
+                                             announceLimit(server);
+                                           }},
         View(Context), Self(selfEntry(values, incarnation)),
         Source(Loop, storeSettings(values, Self)),
         Peers(Loop, Self, peerHandlers()), Server(Context),
@@ -180,6 +187,15 @@
       Peers.announceLoadUpdate(it);
     });
     Guard.setHandlers(guardHandlers());
+    Memory.setRefusalHandler([](const core::limits::MemoryRefusal &it) {
+      drivers::log::write(drivers::log::Level::Warn, "memory_refused",
+                          {{"use", core::limits::memoryUseName(it.Use)},
+                           {"held", it.Held},
+                           {"wanted", it.Wanted},
+                           {"in_use", it.InUse},
+                           {"budget", it.Budget},
+                           {"refused", it.Refused}});
+    });
     View.setConfigChangedHandler([this] { Peers.announceConfig(); });
     View.setStoreAnsweredHandler([this](FleetTopic topic) {
       if (topic == FleetTopic::Config || topic == FleetTopic::Backends)
@@ -390,6 +406,7 @@
 
   void showMetrics(drivers::http::HttpResponse &response) {
     Metrics.setLogLinesDropped(drivers::log::droppedLines());
+    Metrics.setMemory(Memory);
     response.setContent(Metrics.text(), "text/plain; version=0.0.4");
   }
 
@@ -508,6 +525,7 @@
   drivers::metrics::RelayMetrics Metrics;
   drivers::relay::StartGate Start;
   drivers::relay::PromptGuard Guard;
+  core::limits::MemoryAccount Memory;
   drivers::relay::RelayContext Context;
   drivers::relay::FleetView View;
   core::platform::NodeEntry Self;
--- a/main/entry_settings.cpp
+++ b/main/entry_settings.cpp
@@ -17,7 +17,7 @@
 using core::fields::FieldType;
 using core::fields::FieldValues;
 
-constexpr std::array<FieldSpec, 18> Specs = {{
+constexpr std::array<FieldSpec, 19> Specs = {{
     {"node.name", FieldType::Text, "", "\"\"", 0, 128, "",
      "Unique name of this VM; peers.address if empty."},
     {"node.zone", FieldType::Text, "", "\"default\"", 1, 128, "",
@@ -26,6 +26,8 @@
      "Region that the availability zone belongs to."},
     {"node.max_files", FieldType::Integer, "", "4096", 256, 1048576, "",
      "Number of file descriptors that the process may open."},
+    {"node.memory_mb", FieldType::Integer, "MiB", "512", 64, 1048576, "",
+     "Memory that the process may use; calls that need more are refused."},
     {"node.grace_s", FieldType::Real, "s", "8", 0, 600, "",
      "Time from SIGTERM until the platform sends SIGKILL."},
     {"calls.address", FieldType::Text, "", "", 9, 64, "",
--- a/tests/platform/test_entry_settings.cpp
+++ b/tests/platform/test_entry_settings.cpp
@@ -44,6 +44,7 @@
           {"listen.ready", "127.0.0.1:8220"},
           {"platform.address", "127.0.0.1:8223"},
           {"limits.max_fds", "4200"},
+          {"limits.memory_mb", "260"},
           {"bounds.grace_s", "8"},
           {"bounds.retry_budget_ratio", "0.2"},
           {"bounds.budget_slack", "100"},
@@ -53,6 +54,7 @@
 /// The numbers among the placeholders, and the settings that they fill.
 const std::map<std::string, std::string> NumberSettings = {
     {"limits.max_fds", "node.max_files"},
+    {"limits.memory_mb", "node.memory_mb"},
     {"bounds.grace_s", "node.grace_s"},
     {"bounds.retry_budget_ratio", "retries.share"},
     {"bounds.budget_slack", "retries.slack"},
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -2,7 +2,6 @@
 
 #include <csignal>
 #include <cstdlib>
-#include <cstring>
 #include <fcntl.h>
 #include <filesystem>
 #include <fmt/format.h>
@@ -127,10 +126,18 @@
 }
 
 long ChildProcess::residentKilobytes() const {
+  return statusKilobytes("VmRSS:");
+}
+
+long ChildProcess::highestKilobytes() const {
+  return statusKilobytes("VmHWM:");
+}
+
+long ChildProcess::statusKilobytes(std::string_view name) const {
   std::ifstream in("/proc/" + std::to_string(Pid) + "/status");
   for (std::string line; std::getline(in, line);)
-    if (line.starts_with("VmRSS:"))
-      return std::atol(line.c_str() + std::strlen("VmRSS:"));
+    if (line.starts_with(name))
+      return std::atol(line.c_str() + name.size());
   return 0;
 }
 
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <sys/types.h>
 #include <vector>
 
@@ -41,6 +42,10 @@
   /// Returns the resident memory of the process, or 0 if it isn't running.
   long residentKilobytes() const;
 
+  /// Returns the highest resident memory of the process so far, or 0 if it
+  /// isn't running.
+  long highestKilobytes() const;
+
   /// Returns everything that the process has written to stdout and stderr.
   std::string log() const;
 
@@ -50,6 +55,9 @@
                                           std::chrono::milliseconds timeout);
 
 private:
+  /// Returns the line \p name of the process's status, in kilobytes.
+  long statusKilobytes(std::string_view name) const;
+
   std::string Folder;
   pid_t Pid = -1;
   bool Ended = false;
--- a/tests/support/relay_fixture.cpp
+++ b/tests/support/relay_fixture.cpp
@@ -256,7 +256,7 @@
             {{{"name", "plain"}}, {{"name", "engine"}, {"engine", engine}}}},
            {"limits",
             {{"max_header_bytes", 4'096},
-             {"max_body_bytes", 10'000},
+             {"max_body_bytes", MaxBodyBytes},
              {"header_timeout_ms", 500},
              {"idle_timeout_ms", 10'000}}},
            {"tenants",
@@ -268,12 +268,14 @@
 std::string RelayFixture::writeSettings(const std::string &extra) const {
   return Process.writeFile(
       "entry.toml",
-      fmt::format("[node]\nname = \"{}\"\nzone = \"z\"\n[calls]\n"
+      fmt::format("[node]\nname = \"{}\"\nzone = \"z\"\n{}[calls]\n"
                   "address = \"{}\"\n[ready]\naddress = \"{}\"\n[metrics]\n"
                   "port = 0\n[peers]\naddress = \"{}\"\n[store]\n"
                   "address = \"{}\"\nwait_ms = 300\nbound_ms = 300\n{}",
-                  Name, CallsAddress, ReadinessAddress, PeersAddress,
-                  Store.address(), extra));
+                  Name,
+                  MemoryMb > 0 ? fmt::format("memory_mb = {}\n", MemoryMb) : "",
+                  CallsAddress, ReadinessAddress, PeersAddress, Store.address(),
+                  extra));
 }
 
 bool RelayFixture::start(size_t backends) {
--- a/tests/support/relay_fixture.h
+++ b/tests/support/relay_fixture.h
@@ -111,6 +111,9 @@
   std::shared_ptr<lab::StoreServer> SharedStore;
   lab::StoreServer &Store;
   std::string Name = "n1";
+  /// Settings and limits used by start() and configure(); 0 for the default.
+  int MemoryMb = 0;
+  size_t MaxBodyBytes = 10'000;
   ChildProcess Process;
   std::string CallsAddress;
   std::string ReadinessAddress;
