--- a/core/relay/attempt_policy.h
+++ b/core/relay/attempt_policy.h
@@ -43,6 +43,8 @@
   Superseded,
   /// The same, before anything was written.
   Withdrawn,
+  /// The answer exceeded the memory that this node had left for it.
+  TooLarge,
 };
 
 /// Returns the name of \p end in logs and metrics.
--- a/drivers/relay/attempt_runner.cpp
+++ b/drivers/relay/attempt_runner.cpp
@@ -16,6 +16,7 @@
 
 namespace {
 
+using core::limits::MemoryUse;
 using core::relay::AttemptEnd;
 using core::relay::AttemptStep;
 using core::relay::AttemptTimeout;
@@ -370,6 +371,7 @@
 }
 
 asio::awaitable<AttemptEnd> AttemptRunner::readPlain(AnswerParser &parser) {
+  Memory = core::limits::MemoryGrant(Context.Memory, MemoryUse::PlainAnswer);
   std::string body;
   std::array<char, ReadBufferBytes> buf{};
   while (!parser.is_done()) {
@@ -385,6 +387,8 @@
       co_return *Stopped;
     if (body.size() > Context.Limits.MaxAnswerBytes)
       co_return AttemptEnd::Garbled;
+    if (!Memory.cover(body.size(), clock::steadyNow()))
+      co_return AttemptEnd::TooLarge;
   }
   const bool isFailure = parser.get().result_int() >= 500;
   keepPlain(parser.get(), std::move(body));
@@ -434,6 +438,7 @@
 }
 
 asio::awaitable<AttemptEnd> AttemptRunner::relayEvents(AnswerParser &parser) {
+  Memory = core::limits::MemoryGrant(Context.Memory, MemoryUse::Event);
   std::array<char, ReadBufferBytes> buf{};
   while (!parser.is_done()) {
     parser.get().body().data = buf.data();
@@ -451,6 +456,8 @@
     }
     if (Events.isOverlong())
       co_return AttemptEnd::Garbled;
+    if (!Memory.cover(Events.bufferedBytes(), clock::steadyNow()))
+      co_return AttemptEnd::TooLarge;
     if (ec && ec != bhttp::error::need_buffer)
       co_return isProtocolError(ec) ? AttemptEnd::Garbled
                                     : interruptedEnd(true);
--- a/drivers/relay/attempt_runner.h
+++ b/drivers/relay/attempt_runner.h
@@ -121,6 +121,8 @@
 
   /// The complete answer that isn't a stream; empty if there is none.
   std::optional<PlainResponse> &plainAnswer() { return Plain; }
+  /// The memory that the complete answer uses.
+  core::limits::MemoryGrant &answerMemory() { return Memory; }
 
 private:
   using AnswerParser = bhttp::response_parser<bhttp::buffer_body>;
@@ -195,6 +197,8 @@
   /// Whether the answer has shown that the prompt's parts are sound.
   bool IsPromptSound = false;
   StreamHead Head;
+  /// Memory of the answer's body or of an incomplete event.
+  core::limits::MemoryGrant Memory;
   std::optional<PlainResponse> Plain;
   AttemptRecord Record;
 };
--- a/drivers/relay/call_runner.cpp
+++ b/drivers/relay/call_runner.cpp
@@ -290,8 +290,10 @@
 bool CallRunner::settle(AttemptRunner &attempt, absl::Time now) {
   const AttemptEnd end = attempt.record().End;
   countInProgress();
-  if (attempt.plainAnswer().has_value())
+  if (attempt.plainAnswer().has_value()) {
     BufferedAnswer = std::move(attempt.plainAnswer());
+    AnswerMemory = std::move(attempt.answerMemory());
+  }
   if (Aborted.has_value()) {
     if (!InProgress.empty() || !Ended.empty())
       return false;
--- a/drivers/relay/call_runner.h
+++ b/drivers/relay/call_runner.h
@@ -108,6 +108,8 @@
   /// The answer to write at the end unless a stream is delivered: a backend
   /// server's complete answer or this node's own error.
   std::optional<PlainResponse> BufferedAnswer;
+  /// Memory of the body of BufferedAnswer.
+  core::limits::MemoryGrant AnswerMemory;
   std::string LocalErrorCode;
   std::string LocalErrorRule;
   int64_t LocalRetryAfterMs = 0;
--- a/drivers/relay/caller_session.cpp
+++ b/drivers/relay/caller_session.cpp
@@ -22,6 +22,8 @@
 /// Limit on the bytes that are read from a caller and discarded before its
 /// connection is closed.
 constexpr size_t LingerBytes = 256 << 10;
+/// Retry-After of a call that was refused for lack of memory.
+constexpr int64_t MemoryRetryAfterMs = 500;
 /// Limit on the time to send the answer to a rejected request.
 constexpr absl::Duration RejectWriteTimeout = absl::Seconds(1);
 /// Retry-After of a call that was still being read when the process ended.
@@ -104,7 +106,15 @@
       co_return false;
     }
   }
-  std::optional<CallRequest> request = co_await readRequest();
+  core::limits::MemoryGrant headMemory(Context.Memory,
+                                       core::limits::MemoryUse::RequestHead);
+  core::limits::MemoryGrant bodyMemory(Context.Memory,
+                                       core::limits::MemoryUse::RequestBody);
+  if (!headMemory.cover(Buffer.capacity(), clock::steadyNow())) {
+    co_await refuseForMemory({}, limits().MaxBodyBytes);
+    co_return false;
+  }
+  std::optional<CallRequest> request = co_await readRequest(bodyMemory);
   if (!request.has_value())
     co_return false;
   Stream.expires_never();
@@ -172,16 +182,24 @@
       });
 }
 
-asio::awaitable<std::optional<CallRequest>> CallerSession::readRequest() {
+asio::awaitable<std::optional<CallRequest>>
+CallerSession::readRequest(core::limits::MemoryGrant &bodyMemory) {
   const core::routes::CallerLimits inForce = limits();
   loop::RequestParser parser;
   parser.header_limit(inForce.MaxHeaderBytes);
   parser.body_limit(inForce.MaxBodyBytes);
   Stream.expires_after(toChrono(inForce.HeaderTimeout));
   IsReading = true;
-  const boost::system::error_code readError = co_await loop::readRequest(
-      Stream, Buffer, parser, isAmbiguous, toChrono(BodyReadTimeout));
+  const boost::system::error_code readError =
+      co_await loop::readRequest(Stream, Buffer, parser, isAmbiguous,
+                                 toChrono(BodyReadTimeout), &bodyMemory);
   IsReading = false;
+  if (readError == loop::memoryFull()) {
+    parser.get().body() = std::string();
+    bodyMemory.release();
+    co_await refuseForMemory(parser.get(), inForce.MaxBodyBytes);
+    co_return std::nullopt;
+  }
   if (readError) {
     co_await reject(readError, parser.get());
     co_return std::nullopt;
@@ -227,6 +245,32 @@
   co_await loop::lingeringClose(Stream, Buffer, LingerBytes);
 }
 
+asio::awaitable<void>
+CallerSession::refuseForMemory(const bhttp::request_header<> &head,
+                               size_t maxBodyBytes) {
+  const std::string id = Context.Codec.decodeCall(headerViews(head)).AttemptId;
+  const core::errors::RequestError error =
+      core::errors::RequestErrorBuilder(core::errors::ErrorCode::MemoryFull,
+                                        "this node has no memory for the call")
+          .rule("node.memory_mb")
+          .retryAfterMs(MemoryRetryAfterMs)
+          .build();
+  const std::string code(core::errors::errorCodeName(error.Code));
+  bhttp::response<bhttp::string_body> response =
+      errorResponse(error, id, Context.Codec);
+  log::write(log::Level::Info, "call_rejected",
+             {{"id", id},
+              {"status", static_cast<int>(response.result_int())},
+              {"reason", code}});
+  Context.Metrics.localErrorSent(code);
+  response.set(bhttp::field::connection, "close");
+  Stream.expires_after(toChrono(RejectWriteTimeout));
+  co_await bhttp::async_write(Stream, response, AsTuple);
+  // Most clients read the answer only after they have sent the whole body.
+  co_await loop::lingeringClose(Stream, Buffer, maxBodyBytes + LingerBytes,
+                                toChrono(BodyReadTimeout));
+}
+
 void CallerSession::watchCaller(const std::shared_ptr<CallRunner> &runner) {
   loop::watchPeer(Stream.socket(), [self = shared_from_this(),
                                     weak = std::weak_ptr<CallRunner>(runner)] {
--- a/drivers/relay/caller_session.h
+++ b/drivers/relay/caller_session.h
@@ -40,13 +40,17 @@
   asio::awaitable<bool> awaitFirstByte();
   /// Closes the connection when \p wait ends, unless a call arrives first.
   void armIdleTimer(core::relay::IdleWait wait);
-  asio::awaitable<std::optional<CallRequest>> readRequest();
+  asio::awaitable<std::optional<CallRequest>>
+  readRequest(core::limits::MemoryGrant &bodyMemory);
   /// Answers a request that couldn't be read because of \p ec; \p head is what
   /// was read of it.
   asio::awaitable<void> reject(boost::system::error_code ec,
                                const loop::RequestMessage &head);
   /// Writes \p response and closes the connection.
   asio::awaitable<void> writeLast(PlainResponse response);
+  /// Answers the call with the head \p head that there is no memory for it.
+  asio::awaitable<void> refuseForMemory(const bhttp::request_header<> &head,
+                                        size_t maxBodyBytes);
   void watchCaller(const std::shared_ptr<CallRunner> &runner);
 
   RelayContext &Context;
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -49,6 +49,7 @@
 /// Concurrent connections to a status page: load balancer, metrics collector,
 /// people.
 constexpr size_t MaxStatusConnections = 32;
+constexpr size_t BytesPerMb = 1 << 20;
 constexpr int StatusOk = 200;
 constexpr int StatusUnavailable = 503;
 
@@ -96,6 +97,11 @@
   return result;
 }
 
+size_t memoryFor(const FieldValues &settings) {
+  return core::limits::memoryBudget(
+      static_cast<size_t>(settings.integer("node.memory_mb")) * BytesPerMb);
+}
+
 drivers::relay::AnswerLimits answerLimits(const FieldValues &settings) {
   drivers::relay::AnswerLimits result;
   result.MaxAnswerBytes =
@@ -156,23 +162,24 @@
       : Settings(values), File(file), CallChart(std::move(charts.Call)),
         AttemptChart(std::move(charts.Attempt)),
         Calls(dispatcherSettings(values, incarnation)),
-        Start(Loop, drivers::clock::steadyNow()),
-        Guard(Loop, Metrics), Context{Loop,
-                                      Calls,
-                                      Codec,
-                                      Metrics,
-                                      CallChart,
-                                      AttemptChart,
-                                      Start,
-                                      Guard,
-                                      {},
-                                      absl::InfiniteFuture(),
-                                      0,
-                                      answerLimits(values),
-                                      [this] { Peers.announceLeaving(); },
-                                      [this](const auto &server) {
-                                        announceLimit(server);
-                                      }},
+        Start(Loop, drivers::clock::steadyNow()), Guard(Loop, Metrics),
+        Memory(memoryFor(values)), Context{Loop,
+                                           Calls,
+                                           Codec,
+                                           Metrics,
+                                           CallChart,
+                                           AttemptChart,
+                                           Start,
+                                           Guard,
+                                           Memory,
+                                           {},
+                                           absl::InfiniteFuture(),
+                                           0,
+                                           answerLimits(values),
+                                           [this] { Peers.announceLeaving(); },
+                                           [this](const auto &server) {
+                                             announceLimit(server);
+                                           }},
         View(Context), Self(selfEntry(values, incarnation)),
         Source(Loop, storeSettings(values, Self)),
         Peers(Loop, Self, peerHandlers()), Server(Context),
@@ -183,6 +190,15 @@
       Peers.announceLoadUpdate(it);
     });
     Guard.setHandlers(guardHandlers());
+    Memory.setRefusalHandler([](const core::limits::MemoryRefusal &it) {
+      drivers::log::write(drivers::log::Level::Warn, "memory_refused",
+                          {{"use", core::limits::memoryUseName(it.Use)},
+                           {"held", it.Held},
+                           {"wanted", it.Wanted},
+                           {"in_use", it.InUse},
+                           {"budget", it.Budget},
+                           {"refused", it.Refused}});
+    });
     View.setConfigChangedHandler([this] { Peers.announceConfig(); });
     View.setStoreAnsweredHandler([this](FleetTopic topic) {
       if (topic == FleetTopic::Config || topic == FleetTopic::Backends)
@@ -393,6 +409,7 @@
 
   void showMetrics(drivers::http::HttpResponse &response) {
     Metrics.setLogLinesDropped(drivers::log::droppedLines());
+    Metrics.setMemory(Memory);
     response.setContent(Metrics.text(), "text/plain; version=0.0.4");
   }
 
@@ -514,6 +531,7 @@
   drivers::metrics::RelayMetrics Metrics;
   drivers::relay::StartGate Start;
   drivers::relay::PromptGuard Guard;
+  core::limits::MemoryAccount Memory;
   drivers::relay::RelayContext Context;
   drivers::relay::FleetView View;
   core::platform::NodeEntry Self;
