Return large freed buffers to the system and bound other answers

Cause: glibc raises its mmap threshold to the size of freed blocks and keeps later ones in a fragmented heap; a refused body kept its capacity while the rest of it was discarded. Besides, each answer to a reservation at a backend server could take 16 MB, and the store's answers weren't counted.

Change: a fixed mmap threshold of 128 KB for entry nodes, the refused body is freed, answers to reservations end at 16 KB, the store's are counted without being refused.

--- a/core/limits/memory_account.cpp
+++ b/core/limits/memory_account.cpp
@@ -61,19 +61,25 @@
   return grow((missing + StepBytes - 1) / StepBytes * StepBytes, now);
 }
 
+void MemoryGrant::require(size_t n) {
+  if (Account == nullptr || n <= Held)
+    return;
+  Account->add(n - Held);
+  Held = n;
+}
+
 void MemoryGrant::release() {
   if (Account != nullptr)
     Account->give(std::exchange(Held, 0));
 }
 
 bool MemoryAccount::canTake(size_t held, size_t n) const {
-  const size_t free = Budget - InUse;
-  if (n > free)
+  if (n > free())
     return false;
   // Differences instead of sums, which could overflow.
   if (n <= SmallBytes && held <= SmallBytes - n)
     return true;
-  const size_t left = free - n;
+  const size_t left = free() - n;
   return left >= reserve() && held <= left - reserve() &&
          n <= left - reserve() - held;
 }
@@ -83,8 +89,7 @@
     recordRefusal(use, held, n, now);
     return false;
   }
-  InUse += n;
-  Highest = std::max(Highest, InUse);
+  add(n);
   return true;
 }
 
--- a/core/limits/memory_account.h
+++ b/core/limits/memory_account.h
@@ -2,6 +2,7 @@
 #define ORIOLETALLY_CORE_LIMITS_MEMORY_ACCOUNT_H
 
 #include <absl/time/time.h>
+#include <algorithm>
 #include <array>
 #include <cstddef>
 #include <cstdint>
@@ -55,6 +56,10 @@
   /// byte by byte rarely asks.
   bool cover(size_t n, absl::Time now);
 
+  /// Counts \p n bytes in all, without asking. For what the node needs to do
+  /// its work at all, and what is bounded elsewhere.
+  void require(size_t n);
+
   void release();
 
   size_t bytes() const { return Held; }
@@ -110,7 +115,12 @@
 
   static constexpr size_t ReserveDivisor = 8;
 
+  size_t free() const { return Budget - std::min(Budget, InUse); }
   bool take(MemoryUse use, size_t held, size_t n, absl::Time now);
+  void add(size_t n) {
+    InUse += n;
+    Highest = std::max(Highest, InUse);
+  }
   void give(size_t n) { InUse -= n; }
   bool canTake(size_t held, size_t n) const;
   /// What only small holders may use.
--- a/drivers/loop/http_client.cpp
+++ b/drivers/loop/http_client.cpp
@@ -11,9 +11,6 @@
 
 namespace {
 
-/// Larger answers fail the call; a page of the store's rows is at most 1 MB.
-constexpr uint64_t MaxAnswerBytes = 16 << 20;
-
 void copyHeaders(const bhttp::response_header<> &head, HttpCallResult &result) {
   for (const auto &it : head)
     result.Headers.emplace_back(it.name_string(), it.value());
@@ -43,8 +40,9 @@
   return call;
 }
 
-HttpClient::HttpClient(asio::io_context &loop, std::string address)
-    : Loop(loop), Address(std::move(address)) {}
+HttpClient::HttpClient(asio::io_context &loop, std::string address,
+                       core::limits::MemoryAccount *memory)
+    : Loop(loop), Address(std::move(address)), Memory(memory) {}
 
 void HttpClient::close() {
   if (Stream != nullptr)
@@ -93,14 +91,21 @@
     co_return result;
   }
   bhttp::response_parser<bhttp::string_body> parser;
-  parser.body_limit(MaxAnswerBytes);
-  const auto [readError, read] =
-      co_await bhttp::async_read(*Stream, Buffer, parser, AsTuple);
-  Received += read;
-  if (readError) {
-    Stream.reset();
-    result.Failure = "read: " + readError.message();
-    co_return result;
+  parser.body_limit(httpCall.MaxAnswerBytes);
+  core::limits::MemoryGrant memory;
+  if (Memory != nullptr)
+    memory = core::limits::MemoryGrant(*Memory,
+                                       core::limits::MemoryUse::StoreAnswer);
+  while (!parser.is_done()) {
+    const auto [ec, read] =
+        co_await bhttp::async_read_some(*Stream, Buffer, parser, AsTuple);
+    Received += read;
+    if (ec) {
+      Stream.reset();
+      result.Failure = "read: " + ec.message();
+      co_return result;
+    }
+    memory.require(parser.get().body().size());
   }
   result.Status = static_cast<int>(parser.get().result_int());
   copyHeaders(parser.get(), result);
--- a/drivers/loop/http_client.h
+++ b/drivers/loop/http_client.h
@@ -1,6 +1,8 @@
 #ifndef ORIOLETALLY_DRIVERS_LOOP_HTTP_CLIENT_H
 #define ORIOLETALLY_DRIVERS_LOOP_HTTP_CLIENT_H
 
+#include "core/limits/memory_account.h"
+
 #include <absl/time/time.h>
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -23,6 +25,8 @@
   /// JSON; empty for none.
   std::string Body;
   absl::Duration Timeout = absl::Seconds(1);
+  /// Larger answers fail the call; a page of the store's rows is at most 1 MB.
+  uint64_t MaxAnswerBytes = 16 << 20;
 
   /// Use these instead of braced initializers: g++ 12 destroys a braced
   /// temporary in a co_await expression twice.
@@ -52,8 +56,10 @@
 /// timeout. Runs on the event loop.
 class HttpClient {
 public:
-  /// \p address is "ip:port".
-  HttpClient(boost::asio::io_context &loop, std::string address);
+  /// \p address is "ip:port"; answers that are being received are counted in
+  /// \p memory, if given.
+  HttpClient(boost::asio::io_context &loop, std::string address,
+             core::limits::MemoryAccount *memory = nullptr);
 
   /// Makes one call. Calls on the same client must not overlap.
   boost::asio::awaitable<HttpCallResult> call(HttpCall httpCall);
@@ -72,6 +78,7 @@
 
   boost::asio::io_context &Loop;
   std::string Address;
+  core::limits::MemoryAccount *Memory;
   std::unique_ptr<boost::beast::tcp_stream> Stream;
   boost::beast::flat_buffer Buffer;
   uint64_t Sent = 0;
--- a/drivers/relay/caller_session.cpp
+++ b/drivers/relay/caller_session.cpp
@@ -137,7 +137,8 @@
       co_await loop::readRequest(Stream, Buffer, parser, isAmbiguous,
                                  toChrono(BodyReadTimeout), &bodyMemory);
   if (readError == loop::memoryFull()) {
-    parser.get().body() = std::string();
+    // An assignment would keep the capacity.
+    std::string().swap(parser.get().body());
     bodyMemory.release();
     co_await refuse(parser.get(), limits.MaxBodyBytes);
     co_return std::nullopt;
--- a/drivers/relay/memory_lease.cpp
+++ b/drivers/relay/memory_lease.cpp
@@ -17,6 +17,8 @@
 constexpr absl::Duration CommandTimeout = absl::Milliseconds(400);
 constexpr int MaxReleaseAttempts = 3;
 constexpr int StatusOk = 200;
+/// Only the status of an answer matters.
+constexpr uint64_t MaxAnswerBytes = 16 << 10;
 
 } // namespace
 
@@ -30,6 +32,7 @@
 MemoryLease::sendCommand(core::relay::BackendCommand command) {
   loop::HttpCall call = loop::HttpCall::post(
       std::move(command.Target), std::move(command.Body), CommandTimeout);
+  call.MaxAnswerBytes = MaxAnswerBytes;
   const loop::HttpCallResult answer = co_await Client.call(std::move(call));
   co_return answer.Status;
 }
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -141,8 +141,10 @@
 
 platform::StoreSourceSettings
 storeSettings(const FieldValues &settings,
-              const core::platform::NodeEntry &self) {
+              const core::platform::NodeEntry &self,
+              core::limits::MemoryAccount &memory) {
   platform::StoreSourceSettings result;
+  result.Memory = &memory;
   result.Address = settings.text("store.address");
   result.Self = self;
   result.MakePeerKey = drivers::peer::makeSecretKey;
@@ -178,7 +180,7 @@
                                              announceLimit(server);
                                            }},
         View(Context), Self(selfEntry(values, incarnation)),
-        Source(Loop, storeSettings(values, Self)),
+        Source(Loop, storeSettings(values, Self, Memory)),
         Peers(Loop, Self, peerHandlers()), Server(Context),
         ReadyServer(Loop, readySettings(values)),
         MetricsServer(Loop, metricsSettings(values)),
--- a/main/main.cpp
+++ b/main/main.cpp
@@ -23,6 +23,7 @@
 #include <fmt/format.h>
 #include <functional>
 #include <iostream>
+#include <malloc.h>
 #include <optional>
 #include <sys/resource.h>
 #include <thread>
@@ -38,6 +39,8 @@
 constexpr const char *SettingsVariable = "ORIOLETALLY_SETTINGS";
 constexpr const char *TokenVariable = "ORIOLETALLY_TOKEN";
 constexpr int DefaultWaitSeconds = 30;
+/// Larger blocks of an entry node go back to the system when they are freed.
+constexpr int MmapThresholdBytes = 128 << 10;
 /// Time between two reads of a settings file that can't be used yet.
 constexpr auto SettingsRetryInterval = std::chrono::milliseconds(100);
 
@@ -158,6 +161,9 @@
         settings.text("node.name"), incarnation,
         drivers::log::levelFromName(settings.text("log.level")));
     BOOST_LEAF_AUTO(chart, charts::callChart());
+    // Without a fixed threshold, glibc raises it to the size of freed blocks
+    // and keeps later ones of that size in the heap, fragmented.
+    ::mallopt(M_MMAP_THRESHOLD, MmapThresholdBytes);
     EntryNode node(settings, incarnation, std::move(chart), settingsFile);
     BOOST_LEAF_CHECK(node.start());
     const bool isCleanExit = node.run();
--- a/tests/core/test_memory_account.cpp
+++ b/tests/core/test_memory_account.cpp
@@ -124,6 +124,17 @@
   LONGS_EQUAL(1'500, Account.highest());
 }
 
+// The store's answers are counted even when others have used the budget.
+TEST(MemoryAccount, RequiredMemoryLeavesLessToOthers) {
+  MemoryGrant store = grant(MemoryUse::StoreAnswer);
+  store.require(Account.budget() + MiB);
+  LONGS_EQUAL(Account.budget() + MiB, Account.inUse());
+  MemoryGrant small = grant();
+  CHECK_FALSE(small.grow(1, Now));
+  store.release();
+  CHECK(small.grow(1, Now));
+}
+
 TEST(MemoryAccount, HugeSizesAreRefused) {
   MemoryGrant it = grant();
   CHECK(it.grow(1'000, Now));
--- a/tests/platform/test_endless_bytes.cpp
+++ b/tests/platform/test_endless_bytes.cpp
@@ -18,13 +18,15 @@
 
 constexpr int MemoryMb = 260;
 constexpr int DefaultCalls = 60;
+/// With 4.1 MB each, more than the process may use.
+constexpr int DefaultPrompts = 90;
 constexpr int SoundThreads = 4;
 constexpr double SoundShare = 0.9;
 constexpr size_t PromptBytes = 4'100'000;
 constexpr size_t MaxBodyBytes = 4'194'304;
 constexpr size_t BlockBytes = 1 << 16;
 /// Endless callers and servers stop after this time.
-constexpr int EndlessMs = 3'000;
+constexpr int EndlessMs = 5'000;
 
 using Clock = std::chrono::steady_clock;
 
@@ -33,9 +35,9 @@
 }
 
 /// Calls at once; ENDLESS_CALLS replaces the default in a run by hand.
-int callsAtOnce() {
+int callsAtOnce(int usual = DefaultCalls) {
   const char *text = std::getenv("ENDLESS_CALLS");
-  return text == nullptr ? DefaultCalls : std::atoi(text);
+  return text == nullptr ? usual : std::atoi(text);
 }
 
 std::string repeated(const std::string &part) {
@@ -87,6 +89,7 @@
 TEST_GROUP(EndlessBytes) {
   struct Outcome {
     long PeakKilobytes = 0;
+    int Calls = 0;
     int Sound = 0;
     int Served = 0;
   };
@@ -103,12 +106,13 @@
   void startNode() {
     Node.MemoryMb = MemoryMb;
     Node.MaxBodyBytes = MaxBodyBytes;
+    Node.PlainTimeoutMs = EndlessMs;
     Node.configure(1);
     CHECK(Node.start(Servers.size()));
   }
 
-  /// Runs \p caller in callsAtOnce() threads beside sound calls to \p path.
-  Outcome play(const std::string &path,
+  /// Runs \p caller in \p calls threads beside sound calls to \p path.
+  Outcome play(const std::string &path, int calls,
                const std::function<void(int)> &caller) {
     std::atomic<bool> isOver = false;
     std::atomic<int> sound = 0;
@@ -126,20 +130,20 @@
         }
       });
     std::vector<std::thread> callers;
-    for (int n = 0; n < callsAtOnce(); ++n)
+    for (int n = 0; n < calls; ++n)
       callers.emplace_back([&caller, n] { caller(n); });
     for (std::thread &it : callers)
       it.join();
     isOver = true;
     for (std::thread &it : soundCallers)
       it.join();
-    return {Node.Process.highestKilobytes(), sound, served};
+    return {Node.Process.highestKilobytes(), calls, sound, served};
   }
 
   void checkOutcome(const char *name, const Outcome &it) {
     if (std::getenv("ENDLESS_CALLS") != nullptr)
       fmt::print(stderr, "{}: calls {}, highest {} kB, sound {} of {}\n", name,
-                 callsAtOnce(), it.PeakKilobytes, it.Served, it.Sound);
+                 it.Calls, it.PeakKilobytes, it.Served, it.Sound);
     CHECK_TEXT(it.PeakKilobytes > 0, "the node has ended");
     CHECK_TEXT(it.PeakKilobytes < MemoryMb * 1'024, name);
     CHECK_TEXT(it.Sound >= SoundThreads, name);
@@ -152,8 +156,8 @@
       addServer("plain", script);
     addServer("engine", scripts::stream(1, 3, 1));
     startNode();
-    checkOutcome(name,
-                 play("/ask/x", [this](int) { Node.call("GET", "/read/x"); }));
+    checkOutcome(name, play("/ask/x", callsAtOnce(),
+                            [this](int) { Node.call("GET", "/read/x"); }));
   }
 
   /// Plays endless answers of servers for streams.
@@ -162,8 +166,8 @@
       addServer("engine", script);
     addServer("plain", scripts::answer(std::string(800, 'a')));
     startNode();
-    checkOutcome(name,
-                 play("/read/x", [this](int) { Node.call("GET", "/ask/x"); }));
+    checkOutcome(name, play("/read/x", callsAtOnce(),
+                            [this](int) { Node.call("GET", "/ask/x"); }));
   }
 
   void addSoundServers() {
@@ -245,7 +249,7 @@
   startNode();
   std::atomic<int> served = 0;
   std::atomic<int> refused = 0;
-  const Outcome it = play("/read/x", [&](int) {
+  const Outcome it = play("/read/x", callsAtOnce(DefaultPrompts), [&](int) {
     const std::string answer = sendPrompt(false, 1'500);
     if (answer.starts_with("HTTP/1.1 200"))
       ++served;
@@ -257,14 +261,15 @@
   });
   checkOutcome("large bodies", it);
   CHECK(served > 0);
-  LONGS_EQUAL(callsAtOnce(), served + refused);
+  LONGS_EQUAL(it.Calls, served + refused);
 }
 
 TEST(EndlessBytes, LargeBodiesInChunks) {
   addSoundServers();
   startNode();
   checkOutcome("large bodies in chunks",
-               play("/read/x", [&](int) { sendPrompt(true, 1'500); }));
+               play("/read/x", callsAtOnce(DefaultPrompts),
+                    [&](int) { sendPrompt(true, 1'500); }));
 }
 
 TEST(EndlessBytes, LargeBodiesBesideEndlessAnswers) {
@@ -272,12 +277,14 @@
     addServer("plain", endless(OkHead + "\r\n", "aaaaaaaaaaaaaaaa"));
   addServer("engine", scripts::stream(1, 3, 1));
   startNode();
-  checkOutcome("large bodies and endless answers", play("/ask/x", [&](int n) {
-                 if (n % 2 == 0)
-                   sendPrompt(false, 1'500);
-                 else
-                   Node.call("GET", "/read/x");
-               }));
+  checkOutcome(
+      "large bodies and endless answers",
+      play("/ask/x", callsAtOnce() + callsAtOnce(DefaultPrompts), [&](int n) {
+        if (n % 2 == 0)
+          sendPrompt(false, 1'500);
+        else
+          Node.call("GET", "/read/x");
+      }));
 }
 
 // Callers that don't read their large answers.
@@ -286,7 +293,7 @@
   addServer("engine", scripts::stream(1, 3, 1));
   startNode();
   checkOutcome(
-      "callers that don't read", play("/ask/x", [&](int) {
+      "callers that don't read", play("/ask/x", callsAtOnce(), [&](int) {
         const auto connection = lab::connectTo(Node.CallsAddress);
         if (connection == nullptr)
           return;
--- a/tests/support/relay_fixture.cpp
+++ b/tests/support/relay_fixture.cpp
@@ -237,13 +237,14 @@
                 {"gap_aim_ms", 200}};
   };
   json routes = {
-      route("read", "/read/", "idempotent", "plain", 1'000, false),
-      route("write", "/write/", "non_idempotent", "plain", 1'000, false),
+      route("read", "/read/", "idempotent", "plain", PlainTimeoutMs, false),
+      route("write", "/write/", "non_idempotent", "plain", PlainTimeoutMs,
+            false),
       route("ask", "/ask/", "streaming", "engine", 6'000, true),
       route("once", "/once/", "streaming", "engine", 20'000, false)};
   if (!extraRoute.empty())
     routes.push_back(route("extra", extraRoute.c_str(), "idempotent", "plain",
-                           1'000, false));
+                           PlainTimeoutMs, false));
   const json engine = {
       {"slots", 16},      {"kv_capacity", 450'000},  {"stride", 46},
       {"step_ms", 0.925}, {"read_per_s", 256'000.0}, {"pairs_per_m", 0.0917},
--- a/tests/support/relay_fixture.h
+++ b/tests/support/relay_fixture.h
@@ -114,6 +114,8 @@
   /// Settings and limits used by start() and configure(); 0 for the default.
   int MemoryMb = 0;
   size_t MaxBodyBytes = 10'000;
+  /// Timeout of routes of plain services.
+  int PlainTimeoutMs = 1'000;
   ChildProcess Process;
   std::string CallsAddress;
   std::string ReadinessAddress;
