--- a/drivers/relay/caller_session.cpp
+++ b/drivers/relay/caller_session.cpp
@@ -195,7 +195,8 @@
                                  toChrono(BodyReadTimeout), &bodyMemory);
   IsReading = false;
   if (readError == loop::memoryFull()) {
-    parser.get().body() = std::string();
+    // An assignment would keep the capacity.
+    std::string().swap(parser.get().body());
     bodyMemory.release();
     co_await refuseForMemory(parser.get(), inForce.MaxBodyBytes);
     co_return std::nullopt;
--- a/main/main.cpp
+++ b/main/main.cpp
@@ -23,6 +23,7 @@
 #include <fmt/format.h>
 #include <functional>
 #include <iostream>
+#include <malloc.h>
 #include <optional>
 #include <sys/resource.h>
 #include <thread>
@@ -38,6 +39,8 @@
 constexpr const char *SettingsVariable = "ORIOLETALLY_SETTINGS";
 constexpr const char *TokenVariable = "ORIOLETALLY_TOKEN";
 constexpr int DefaultWaitSeconds = 30;
+/// Larger blocks of an entry node go back to the system when they are freed.
+constexpr int MmapThresholdBytes = 128 << 10;
 /// Time between two reads of a settings file that can't be used yet.
 constexpr auto SettingsRetryInterval = std::chrono::milliseconds(100);
 
@@ -159,6 +162,9 @@
         drivers::log::levelFromName(settings.text("log.level")));
     BOOST_LEAF_AUTO(callChart, charts::callChart());
     BOOST_LEAF_AUTO(attemptChart, charts::attemptChart());
+    // Without a fixed threshold, glibc raises it to the size of freed blocks
+    // and keeps later ones of that size in the heap, fragmented.
+    ::mallopt(M_MMAP_THRESHOLD, MmapThresholdBytes);
     EntryNode node(settings, incarnation,
                    {std::move(callChart), std::move(attemptChart)},
                    settingsFile);
