Measure what keeps the event loop from everything else

A node whose event loop stands still answers nobody, sends no heartbeat and sees all its servers as silent; nothing it wrote said so.

Everything else shows as the lateness of the timer that runs every 100 ms anyway. Which turn is reported, and when, is decided in core/loop; the loop has one monitor, a service of its io_context, so that no constructor changes.

--- a/drivers/clock/clock.cpp
+++ b/drivers/clock/clock.cpp
@@ -16,6 +16,12 @@
   return absl::TimeFromTimespec(ts);
 }
 
+absl::Duration threadProcessorTime() {
+  timespec ts{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &ts);
+  return absl::DurationFromTimespec(ts);
+}
+
 absl::Time wallNow() { return absl::Now(); }
 
 std::chrono::steady_clock::time_point waitDeadline(absl::Time until,
--- a/drivers/clock/clock.h
+++ b/drivers/clock/clock.h
@@ -10,6 +10,9 @@
 /// differences between two values are meaningful.
 absl::Time steadyNow();
 
+/// Processor time that the calling thread has used.
+absl::Duration threadProcessorTime();
+
 /// Wall-clock time, which can jump: only for timestamps that people read, the
 /// audit trail and the incarnation of a process.
 absl::Time wallNow();
--- a/drivers/metrics/relay_metrics.cpp
+++ b/drivers/metrics/relay_metrics.cpp
@@ -104,7 +104,18 @@
       MemoryRefused(BuildGauge()
                         .Name("orioletally_memory_refused")
                         .Help("Refusals for lack of memory, by use.")
-                        .Register(Registry)) {}
+                        .Register(Registry)),
+      LongestTurn(BuildGauge()
+                      .Name("orioletally_loop_stall_ms")
+                      .Help("Longest time for which a work kept everything "
+                            "else on the event loop waiting.")
+                      .Register(Registry)),
+      LongestTurnProcessorTime(
+          BuildGauge()
+              .Name("orioletally_loop_stall_processor_ms")
+              .Help("Most processor time of the event loop that a work took "
+                    "at once; for other, between two ticks of a timer.")
+              .Register(Registry)) {}
 
 void RelayMetrics::callEnded(std::string_view kind, int status,
                              absl::Duration time) {
@@ -188,6 +199,18 @@
   }
 }
 
+void RelayMetrics::setTurns(const core::loop::TurnLog &turns) {
+  for (size_t n = 0; n < core::loop::LoopWorkCount; ++n) {
+    const core::loop::LoopTurn turn =
+        turns.longest(static_cast<core::loop::LoopWork>(n));
+    const std::string work(core::loop::loopWorkName(turn.Work));
+    LongestTurn.Add({{"work", work}})
+        .Set(absl::ToDoubleMilliseconds(turn.Time));
+    LongestTurnProcessorTime.Add({{"work", work}})
+        .Set(absl::ToDoubleMilliseconds(turn.ProcessorTime));
+  }
+}
+
 std::string RelayMetrics::text() {
   return prometheus::TextSerializer().Serialize(Registry.Collect());
 }
--- a/drivers/metrics/relay_metrics.h
+++ b/drivers/metrics/relay_metrics.h
@@ -2,6 +2,7 @@
 #define ORIOLETALLY_DRIVERS_METRICS_RELAY_METRICS_H
 
 #include "core/limits/memory_account.h"
+#include "core/loop/turn_log.h"
 
 #include <absl/time/time.h>
 #include <memory>
@@ -46,6 +47,7 @@
   void setLogLinesDropped(uint64_t n);
   void setRefusedConnections(int64_t n);
   void setMemory(const core::limits::MemoryAccount &account);
+  void setTurns(const core::loop::TurnLog &turns);
 
   /// Returns all metrics in the Prometheus text format.
   std::string text();
@@ -73,6 +75,8 @@
   prometheus::Gauge &MemoryInUse;
   prometheus::Gauge &MemoryHighest;
   prometheus::Family<prometheus::Gauge> &MemoryRefused;
+  prometheus::Family<prometheus::Gauge> &LongestTurn;
+  prometheus::Family<prometheus::Gauge> &LongestTurnProcessorTime;
 };
 
 } // namespace orioletally::drivers::metrics
--- a/drivers/relay/peer_link.cpp
+++ b/drivers/relay/peer_link.cpp
@@ -4,6 +4,7 @@
 #include "core/relay/call_key.h"
 #include "drivers/clock/clock.h"
 #include "drivers/log/log.h"
+#include "drivers/loop/loop_monitor.h"
 
 #include <algorithm>
 #include <utility>
@@ -307,6 +308,7 @@
 }
 
 void PeerLink::receive(const std::string &bytes) {
+  const loop::LoopMonitor::Scope scope(Loop, core::loop::LoopWork::Peers);
   const absl::Time now = clock::steadyNow();
   std::optional<NodeUpdate> update = decodeNodeUpdate(bytes, now);
   if (Stopping || !update.has_value() || update->Node == Self.Name)
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -6,6 +6,7 @@
 #include "drivers/log/log.h"
 #include "drivers/loop/endpoint.h"
 #include "drivers/loop/event_loop.h"
+#include "drivers/loop/loop_monitor.h"
 #include "drivers/relay/fleet_view.h"
 #include "drivers/relay/peer_link.h"
 #include "drivers/relay/relay_server.h"
@@ -275,8 +276,11 @@
   asio::awaitable<void> applyWatchPolicy() {
     asio::steady_timer timer(Loop);
     for (;;) {
+      const absl::Time dueAt =
+          drivers::clock::steadyNow() + absl::FromChrono(WatchPolicyInterval);
       timer.expires_after(WatchPolicyInterval);
       co_await timer.async_wait(AsTuple);
+      drivers::loop::LoopMonitor::of(Loop).timerFired(dueAt);
       const absl::Time now = drivers::clock::steadyNow();
       setStoreTimeouts();
       for (const FleetTopic topic :
@@ -412,6 +416,7 @@
   void showMetrics(drivers::http::HttpResponse &response) {
     Metrics.setLogLinesDropped(drivers::log::droppedLines());
     Metrics.setMemory(Memory);
+    Metrics.setTurns(drivers::loop::LoopMonitor::of(Loop).turns());
     response.setContent(Metrics.text(), "text/plain; version=0.0.4");
   }
 
