Read large configurations and lists on a thread of their own

Callers saw streams begin late around each large configuration: the whole text was unescaped, parsed, built and put in force in one turn of the event loop, for a change of one route like for a change of all, and the lists of servers, quarantined parts and nodes likewise.

A thread of the store source decodes configurations, answers beyond 8 KB and lists beyond 16 rows; the loop gets a finished value. Which configuration is in force is decided where it was (FleetView::configRead); acknowledging and the store's version that peers are told come after it. Of several configurations the newest valid one is read; one that another node sends while one is read waits, and a newer one takes its place. While one is read, peers aren't asked for it. The thread frees configurations that nothing uses any more. stop() ends what it does within 32 routes and joins it.

The work shrinks too. Routes and the base64 of rows are cut out of their JSON before it becomes a tree, and a route whose text is unchanged (XXH3, 128 bits) is shared with the last configuration. The text of a configuration for another node is moved where it was copied.

Ruled out: slices on the loop (docs/DESIGN.md).

--- a/core/platform/fleet_source.h
+++ b/core/platform/fleet_source.h
@@ -117,10 +117,10 @@
   /// them. Repeats the write until the store has answered it.
   virtual void storeQuarantine(std::vector<relay::QuarantinedPart> parts) = 0;
 
-  /// Parses a configuration that another node forwarded. Calls rowRejected()
-  /// and returns null when it is invalid.
-  virtual std::shared_ptr<const routes::RoutingConfig>
-  readConfig(const std::string &text) = 0;
+  /// Parses the configuration \p version that another node forwarded, and calls
+  /// configRead() later, or rowRejected() when it is invalid. Of those that
+  /// arrive meanwhile, only the newest is parsed.
+  virtual void readConfig(uint64_t version, std::string text) = 0;
 };
 
 } // namespace orioletally::core::platform
--- a/core/routes/routing_config.cpp
+++ b/core/routes/routing_config.cpp
@@ -33,8 +33,8 @@
     return nullptr;
   const std::string_view path = target.substr(0, target.find('?'));
   for (const size_t n : found->second)
-    if (path.starts_with(Routes[n].Prefix))
-      return &Routes[n];
+    if (path.starts_with(Routes[n]->Prefix))
+      return Routes[n].get();
   return nullptr;
 }
 
@@ -53,8 +53,8 @@
   return *this;
 }
 
-RoutingConfigBuilder &RoutingConfigBuilder::source(std::string_view text) {
-  Config->Source = text;
+RoutingConfigBuilder &RoutingConfigBuilder::source(std::string text) {
+  Config->Source = std::move(text);
   return *this;
 }
 
@@ -65,6 +65,11 @@
 
 RoutingConfigBuilder &RoutingConfigBuilder::route(Route route) {
   route.Host = normalizedHost(route.Host);
+  return this->route(std::make_shared<const Route>(std::move(route)));
+}
+
+RoutingConfigBuilder &
+RoutingConfigBuilder::route(std::shared_ptr<const Route> route) {
   Config->Routes.push_back(std::move(route));
   return *this;
 }
@@ -88,12 +93,12 @@
 
 std::shared_ptr<const RoutingConfig> RoutingConfigBuilder::build() {
   for (size_t n = 0; n < Config->Routes.size(); ++n)
-    Config->ByHost[Config->Routes[n].Host].push_back(n);
+    Config->ByHost[Config->Routes[n]->Host].push_back(n);
   for (auto &[host, indices] : Config->ByHost)
     std::stable_sort(indices.begin(), indices.end(),
                      [&](size_t left, size_t right) {
-                       return Config->Routes[left].Prefix.size() >
-                              Config->Routes[right].Prefix.size();
+                       return Config->Routes[left]->Prefix.size() >
+                              Config->Routes[right]->Prefix.size();
                      });
   return std::exchange(Config, nullptr);
 }
--- a/core/routes/routing_config.h
+++ b/core/routes/routing_config.h
@@ -88,7 +88,10 @@
   /// nodes.
   const std::string &source() const { return Source; }
   const CallerLimits &limits() const { return Limits; }
-  const std::vector<Route> &routes() const { return Routes; }
+  /// Routes that didn't change are shared with earlier configurations.
+  const std::vector<std::shared_ptr<const Route>> &routes() const {
+    return Routes;
+  }
 
   /// Returns the route of \p host with the longest prefix that matches the path
   /// of \p target, a request target with or without a query; null if none
@@ -110,7 +113,7 @@
   uint64_t Version = 0;
   std::string Source;
   CallerLimits Limits;
-  std::vector<Route> Routes;
+  std::vector<std::shared_ptr<const Route>> Routes;
   /// Indices into Routes by host, longest prefix first.
   std::map<std::string, std::vector<size_t>, std::less<>> ByHost;
   std::map<std::string, std::string, std::less<>> WorkspaceByKey;
@@ -122,9 +125,11 @@
 class RoutingConfigBuilder {
 public:
   RoutingConfigBuilder &version(uint64_t n);
-  RoutingConfigBuilder &source(std::string_view text);
+  RoutingConfigBuilder &source(std::string text);
   RoutingConfigBuilder &limits(const CallerLimits &limits);
   RoutingConfigBuilder &route(Route route);
+  /// Adds a route that another configuration has, too.
+  RoutingConfigBuilder &route(std::shared_ptr<const Route> route);
   RoutingConfigBuilder &service(Service service);
   /// Adds \p key to the API keys of \p workspace.
   RoutingConfigBuilder &key(const std::string &key,
@@ -132,6 +137,11 @@
   /// Requires an API key for calls even when no workspace has one.
   RoutingConfigBuilder &needsKeys();
 
+  /// Returns the route that was added last; there must be one.
+  const std::shared_ptr<const Route> &lastRoute() const {
+    return Config->Routes.back();
+  }
+
   /// Returns the finished configuration; the builder can't be used afterwards.
   std::shared_ptr<const RoutingConfig> build();
 
--- a/drivers/loop/worker_threads.cpp
+++ b/drivers/loop/worker_threads.cpp
@@ -30,6 +30,10 @@
   }
 }
 
+void WorkerThreads::submit(std::function<void()> call) {
+  asio::post(Pool, std::move(call));
+}
+
 void WorkerThreads::join() { Pool.join(); }
 
 } // namespace orioletally::drivers::loop
--- a/drivers/loop/worker_threads.h
+++ b/drivers/loop/worker_threads.h
@@ -22,6 +22,10 @@
   /// resumes on the loop. An exception of the call is rethrown there.
   asio::awaitable<void> run(std::function<void()> call);
 
+  /// Runs \p call on one of the threads, after what was submitted before; it
+  /// must not throw. Destroys it unrun after join().
+  void submit(std::function<void()> call);
+
   /// Waits for the calls in progress and accepts no more.
   void join();
 
--- a/drivers/relay/node_update.cpp
+++ b/drivers/relay/node_update.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace orioletally::drivers::relay {
 
@@ -148,7 +149,7 @@
 
 } // namespace
 
-std::string encodeNodeUpdate(const NodeUpdate &update, absl::Time now) {
+std::string encodeNodeUpdate(NodeUpdate update, absl::Time now) {
   proto::NodeNews message;
   message.set_node(update.Node);
   message.set_peer_address(update.PeerAddress);
@@ -167,7 +168,7 @@
   for (const std::string &it : update.Leaving)
     message.add_leaving(it);
   message.set_wants_config(update.WantsConfig);
-  message.set_config(update.Config);
+  message.set_config(std::move(update.Config));
   for (const CrashReport &it : update.Crashes)
     encode(it, *message.add_crashes());
   for (const std::string &it : update.SoundParts)
@@ -203,7 +204,7 @@
     update.Backends.push_back(decode(it));
   update.Leaving.assign(message.leaving().begin(), message.leaving().end());
   update.WantsConfig = message.wants_config();
-  update.Config = message.config();
+  update.Config = std::move(*message.mutable_config());
   for (const proto::CrashNews &it : message.crashes())
     update.Crashes.push_back(decode(it));
   update.SoundParts.assign(message.sound_parts().begin(),
--- a/drivers/relay/node_update.h
+++ b/drivers/relay/node_update.h
@@ -55,7 +55,7 @@
 };
 
 /// Serializes \p update, to be sent at \p now: times become ages.
-std::string encodeNodeUpdate(const NodeUpdate &update, absl::Time now);
+std::string encodeNodeUpdate(NodeUpdate update, absl::Time now);
 
 /// Parses a message received at \p now; empty when it is malformed.
 std::optional<NodeUpdate> decodeNodeUpdate(std::string_view bytes,
--- a/drivers/relay/peer_link.cpp
+++ b/drivers/relay/peer_link.cpp
@@ -334,8 +334,9 @@
                                   std::move(update->Backends));
   if (!update->Leaving.empty())
     Handlers.OnPeerLeavingBackends(update->Leaving);
-  if (!update->Config.empty())
-    Handlers.OnPeerConfig(update->Config);
+  if (!update->Config.empty() &&
+      update->ConfigVersion > Handlers.ConfigVersion())
+    Handlers.OnPeerConfig(update->ConfigVersion, std::move(update->Config));
   recordStoreAnswers(*update, now);
   catchUp(*update, now);
 }
@@ -382,9 +383,13 @@
                               now) == CatchUpStep::ReadStore)
     Handlers.Refresh(FleetTopic::Backends);
   const uint64_t version = Handlers.ConfigVersion();
+  // What is being read is probably what the sender has.
   const CatchUpStep step =
-      ConfigCatchUp.stepFor(version, update.ConfigVersion,
-                            shouldWatchStore(FleetTopic::Config, now), now);
+      Handlers.IsReadingConfig()
+          ? CatchUpStep::None
+          : ConfigCatchUp.stepFor(version, update.ConfigVersion,
+                                  shouldWatchStore(FleetTopic::Config, now),
+                                  now);
   if (step == CatchUpStep::ReadStore)
     Handlers.Refresh(FleetTopic::Config);
   const bool isConfigRequested =
@@ -395,7 +400,7 @@
   if (isConfigRequested)
     reply.Config = Handlers.ConfigText();
   reply.WantsConfig = step == CatchUpStep::AskPeer;
-  send(update.PeerAddress, encodeNodeUpdate(reply, now));
+  send(update.PeerAddress, encodeNodeUpdate(std::move(reply), now));
 }
 
 } // namespace orioletally::drivers::relay
--- a/drivers/relay/peer_link.h
+++ b/drivers/relay/peer_link.h
@@ -26,7 +26,8 @@
 struct PeerLinkHandlers {
   std::function<void(const core::relay::LoadUpdate &)> OnPeerLoadUpdate;
   std::function<void(const std::vector<std::string> &)> OnPeerLeavingBackends;
-  std::function<void(const std::string &)> OnPeerConfig;
+  /// The text of a newer configuration than this node's, and its version.
+  std::function<void(uint64_t version, std::string text)> OnPeerConfig;
   /// All changes of the backend servers after version \p since.
   std::function<void(uint64_t since, std::vector<core::fleet::BackendChange>)>
       OnPeerBackendChanges;
@@ -48,6 +49,8 @@
   std::function<uint64_t()> NewestBackendChange;
   /// Version of this node's configuration; 0 for none.
   std::function<uint64_t()> ConfigVersion;
+  /// Whether this node has received a configuration that it is still reading.
+  std::function<bool()> IsReadingConfig;
   /// Text of this node's configuration as stored by the platform.
   std::function<std::string()> ConfigText;
   /// Ids of all backend servers known to be leaving.
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -218,6 +218,7 @@
   }
 
   ~Parts() {
+    Source.stop();
     Peers.stop();
     Loop.end();
   }
@@ -324,9 +325,8 @@
         [this](const std::vector<std::string> &ids) {
           View.applyPeerLeaving(ids);
         };
-    handlers.OnPeerConfig = [this](const std::string &text) {
-      if (auto config = Source.readConfig(text))
-        View.configRead(std::move(config));
+    handlers.OnPeerConfig = [this](uint64_t version, std::string text) {
+      Source.readConfig(version, std::move(text));
     };
     handlers.OnPeerBackendChanges = [this](uint64_t since, auto changes) {
       View.applyPeerChanges(since, std::move(changes));
@@ -351,6 +351,7 @@
     handlers.ConfigVersion = [this] {
       return Calls.config() == nullptr ? 0 : Calls.config()->version();
     };
+    handlers.IsReadingConfig = [this] { return Source.isReadingConfig(); };
     handlers.ConfigText = [this] {
       return Calls.config() == nullptr ? std::string()
                                        : Calls.config()->source();
--- a/tests/platform/test_codecs.cpp
+++ b/tests/platform/test_codecs.cpp
@@ -5,9 +5,12 @@
 #include "platform/row_codec.h"
 #include "tests/support/wire_samples.h"
 
-#include <CppUTest/TestHarness.h>
+#include <absl/strings/escaping.h>
 #include <fmt/format.h>
 
+// Last: it defines a macro called new.
+#include <CppUTest/TestHarness.h>
+
 using namespace orioletally;
 using namespace orioletally::platform;
 using orioletally::tests::SampleConfig;
@@ -122,6 +125,62 @@
   }
 }
 
+TEST(ConfigCodec, SharesUnchangedRoutesWithTheLastConfiguration) {
+  const auto route = [](const char *name, int timeoutMs) {
+    return fmt::format(R"({{"name":"{0}","host":"a","prefix":"/{0}/",)"
+                       R"("kind":"streaming","timeout_ms":{1},"service":"x"}})",
+                       name, timeoutMs);
+  };
+  const auto text = [](int version, const std::string &routes) {
+    return fmt::format(R"({{"version":{},"routes":[{}]}})", version, routes);
+  };
+  ConfigDecoder decoder;
+  const auto decode = [&](const std::string &it) {
+    return leaf::try_handle_all(
+        [&] { return decoder.decode(it, [] { return true; }); },
+        [] { return std::shared_ptr<const core::routes::RoutingConfig>(); });
+  };
+  const auto first = decode(text(1, route("r", 1) + " , " + route("s", 1)));
+  const auto second = decode(
+      text(2, route("t", 1) + "," + route("s", 1) + "," + route("r", 2)));
+  LONGS_EQUAL(3, second->routes().size());
+  POINTERS_EQUAL(first->match("a", "/s/1"), second->match("a", "/s/1"));
+  CHECK(first->match("a", "/r/") != second->match("a", "/r/"));
+  CHECK(second->match("a", "/r/")->Timeout == absl::Milliseconds(2));
+  CHECK(first->match("a", "/r/")->Timeout == absl::Milliseconds(1));
+  // An invalid one between them changes nothing.
+  CHECK(decode(text(3, route("r", -1))) == nullptr);
+  POINTERS_EQUAL(second->match("a", "/r/"),
+                 decode(text(4, route("r", 2)))->match("a", "/r/"));
+}
+
+TEST(ConfigCodec, ReadsRoutesThatCannotBeCutOut) {
+  const std::string route =
+      R"({"name":"r","host":"a","prefix":"/","kind":"streaming",)"
+      R"("timeout_ms":1,"service":"x\"]}"})";
+  for (const std::string &it :
+       {R"({"version":7,"routes":[)" + route + "]}",
+        R"( { "version" : 7 , "routes" : [ )" + route + " ] } ",
+        R"({"version":7,"rout\u0065s":[)" + route + "]}",
+        R"({"version":7,"routes":[],"routes":[)" + route + "]}",
+        R"({"version":7,"other":{"routes":[1]},"routes":[)" + route + "]}"}) {
+    size_t routes = 0;
+    STRCMP_EQUAL("", failingField([&]() -> leaf::result<void> {
+                       BOOST_LEAF_AUTO(config, decodeConfig(it));
+                       routes = config->routes().size();
+                       return {};
+                     }).c_str());
+    LONGS_EQUAL(1, routes);
+  }
+  for (const std::string &it :
+       {R"({"version":7,"routes":[)" + route + ",]}",
+        R"({"version":7,"routes":[)" + route + route + "]}",
+        R"({"version":7,"routes":[)" + route + "}",
+        std::string(R"({"version":7,"routes":[])")})
+    STRCMP_EQUAL("configuration",
+                 failingField([&] { return decodeConfig(it); }).c_str());
+}
+
 TEST_GROUP(BackendEntryCodec) {
   std::string text =
       R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":6,)"
@@ -281,6 +340,28 @@
   CHECK(rows.HasMore);
 }
 
+TEST(RowCodec, ReadsLongValuesBesideShortOnes) {
+  const std::string value(3'000, 'v');
+  const std::string encoded = absl::Base64Escape(value);
+  for (const std::string other : {"bm9kZS0x", "@0", "a\\n"}) {
+    const StoreRows rows = leaf::try_handle_all(
+        [&] {
+          return decodeRows(fmt::format(
+              R"({{"rows":[{{"key":"a","value":"{}","schema_version":4}},)"
+              R"({{"key":"value","value" : "{}","schema_version":5}},)"
+              R"({{"value":"{}","key":"c","schema_version":6}}],)"
+              R"("schema_version":9}})",
+              encoded, other, encoded));
+        },
+        [] { return StoreRows(); });
+    LONGS_EQUAL(3, rows.Rows.size());
+    CHECK(rows.Rows[0].Value == value);
+    STRCMP_EQUAL(other == "bm9kZS0x" ? "node-1" : "",
+                 rows.Rows[1].Value.c_str());
+    CHECK(rows.Rows[2].Value == value);
+  }
+}
+
 // Guards against answers that are refused because of the store's clock.
 TEST(RowCodec, ReadsNumbersInEveryNotation) {
   const StoreRows rows = leaf::try_handle_all(
--- a/tests/platform/test_decoders.cpp
+++ b/tests/platform/test_decoders.cpp
@@ -113,6 +113,15 @@
   CHECK(count > 0 && count < Mutations);
 }
 
+TEST(Decoders, DecodedConfigurationsAreValidJson) {
+  countDecoded(SampleConfig, [](const std::string &it) {
+    auto decoded = platform::decodeConfig(it);
+    if (decoded)
+      CHECK(nlohmann::json::accept(it));
+    return decoded;
+  });
+}
+
 TEST(Decoders, MutatedBackendEntryDecodesOrFailsWithCodecError) {
   const int count = countDecoded(BackendSample, [](const std::string &it) {
     return platform::decodeBackendEntry("i-1", it, 3);
--- a/tests/platform/test_loop_turns.cpp
+++ b/tests/platform/test_loop_turns.cpp
@@ -271,6 +271,29 @@
   LONGS_EQUAL(2, run.Listener.Versions.size());
 }
 
+TEST(LoopTurns, OnlyTheNewestOfThePeersConfigurationsIsRead) {
+  SourceRun run;
+  run.Source.start(run.Listener);
+  for (uint64_t n = 1; n <= 20; ++n)
+    run.Source.readConfig(n, configText(n, 1'000, static_cast<int>(n), 1));
+  run.Source.readConfig(7, configText(7, 1'000, 7, 1));
+  CHECK(run.Source.isReadingConfig() || run.Listener.version() == 0);
+  run.runUntil([&] { return run.Listener.version() == 20; });
+  CHECK(run.Listener.Versions.size() <= 2);
+  CHECK_FALSE(run.Source.isReadingConfig());
+}
+
+TEST(LoopTurns, StopDoesNotWaitForAConfigurationToBeRead) {
+  const std::string text = configText(1, 10'000, 1, 1);
+  auto run = std::make_unique<SourceRun>();
+  run->Source.start(run->Listener);
+  run->Source.readConfig(1, text);
+  run->runUntil([&] { return run->Source.isReadingConfig(); });
+  const absl::Time since = drivers::clock::steadyNow();
+  run.reset();
+  CHECK(drivers::clock::steadyNow() - since < absl::Seconds(2));
+}
+
 TEST(LoopTurns, VersionsNeverGoBack) {
   SourceRun run;
   run.Source.start(run.Listener);
