Let one state decide when a caller's connection may be closed

What callers saw: beside SIGTERM, whole requests on new connections ended without an answer or with a reset, some of them after the node had read them (LOST).

Cause: an asynchronous read that finds its bytes at once takes them off the socket, and its coroutine goes on in a later turn; closeIfIdle and the count of unanswered requests saw an idle connection in between. Connections that had just been accepted were closed at the next look, and closing the port reset those that the kernel had established.

Fix: core::relay::ConnectionState (waiting, reading, answering, closing) is the one owner. Sessions wait for readiness and take the bytes in their own turn, so that bytes are on the socket or in a call, never between. A close ends the node's side, leaves what crosses it unread and waits for the caller's side. New connections have a second; the port is closed a second before the end, after what waits was accepted.

Not done: Keep-Alive on answers. It can't be kept beside a shutdown, whose close of idle connections after 2.5 s IdleConnectionsCloseAfterTheBalancerDrainTime demands.

--- a/drivers/loop/connection_end.cpp
+++ b/drivers/loop/connection_end.cpp
@@ -1,6 +1,7 @@
 #include "drivers/loop/connection_end.h"
 
 #include <cerrno>
+#include <poll.h>
 #include <sys/socket.h>
 #include <utility>
 
@@ -9,6 +10,14 @@
 namespace {
 
 constexpr size_t ReadBytes = 16 << 10;
+/// Interval between two looks whether a peer that has sent bytes has closed.
+constexpr auto PeerPollInterval = std::chrono::milliseconds(20);
+
+/// Whether the peer has closed its side, also if bytes before that are unread.
+bool hasPeerClosed(asio::ip::tcp::socket &socket) {
+  pollfd it{socket.native_handle(), POLLRDHUP, 0};
+  return ::poll(&it, 1, 0) != 0;
+}
 
 } // namespace
 
@@ -47,6 +56,35 @@
   stream.close();
 }
 
+boost::system::error_code takeBytes(asio::ip::tcp::socket &socket,
+                                    beast::flat_buffer &buffer,
+                                    size_t maxBytes) {
+  boost::system::error_code ec;
+  const size_t n = socket.read_some(buffer.prepare(maxBytes), ec);
+  buffer.commit(n);
+  return ec;
+}
+
+asio::awaitable<size_t> closeAfterPeer(beast::tcp_stream &stream,
+                                       std::chrono::nanoseconds timeout) {
+  const auto end = std::chrono::steady_clock::now() + timeout;
+  asio::ip::tcp::socket &socket = stream.socket();
+  {
+    const CancelAfter limit(stream, timeout);
+    co_await socket.async_wait(asio::ip::tcp::socket::wait_read, AsTuple);
+  }
+  asio::steady_timer pause(stream.get_executor());
+  while (socket.is_open() && std::chrono::steady_clock::now() < end &&
+         !hasPeerClosed(socket)) {
+    pause.expires_after(PeerPollInterval);
+    co_await pause.async_wait(AsTuple);
+  }
+  boost::system::error_code ec;
+  const size_t n = socket.available(ec);
+  stream.close();
+  co_return n;
+}
+
 void resetConnection(asio::ip::tcp::socket &socket) {
   // A close without lingering resets the connection; if the option can't be
   // set, the connection is already gone.
--- a/drivers/loop/connection_end.h
+++ b/drivers/loop/connection_end.h
@@ -28,6 +28,20 @@
                size_t maxBytes,
                std::chrono::nanoseconds timeout = std::chrono::seconds(1));
 
+/// Reads what has arrived on the non-blocking \p socket, up to \p maxBytes,
+/// into \p buffer. After a wait for readiness, unlike after an asynchronous
+/// read, all bytes that aren't in \p buffer are still counted as available.
+boost::system::error_code takeBytes(asio::ip::tcp::socket &socket,
+                                    beast::flat_buffer &buffer,
+                                    size_t maxBytes);
+
+/// Closes \p stream, whose sending side is shut down, once the peer has closed
+/// its own, or after \p timeout. Bytes that arrive meanwhile are left unread,
+/// because nothing answers them; returns how many.
+asio::awaitable<size_t>
+closeAfterPeer(beast::tcp_stream &stream,
+               std::chrono::nanoseconds timeout = std::chrono::seconds(1));
+
 /// Closes \p socket with a TCP reset. The peer can't take this for the end of a
 /// body that ends with its connection.
 void resetConnection(asio::ip::tcp::socket &socket);
--- a/drivers/loop/listener.h
+++ b/drivers/loop/listener.h
@@ -29,7 +29,8 @@
   /// Passes each accepted connection to \p handler until close().
   void start(ConnectionHandler handler);
 
-  /// Stops accepting connections.
+  /// Stops accepting connections. Passes those that have been established to
+  /// the handler first, because closing would reset them.
   void close();
 
   /// The port that is bound; 0 after close().
@@ -39,10 +40,13 @@
 
 private:
   /// \p self keeps the listener alive.
-  asio::awaitable<void> accept(std::shared_ptr<Listener> self,
-                               ConnectionHandler handler);
+  asio::awaitable<void> accept(std::shared_ptr<Listener> self);
+
+  /// Passes waiting connections to the handler, up to \p max.
+  boost::system::error_code acceptWaiting(int max);
 
   asio::ip::tcp::acceptor Acceptor;
+  ConnectionHandler Handler;
 };
 
 } // namespace orioletally::drivers::loop
--- a/drivers/relay/caller_session.cpp
+++ b/drivers/relay/caller_session.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 using core::errors::ErrorCode;
+using core::relay::CloseReason;
 using loop::AsTuple;
 
 constexpr size_t ReadBytes = 16 << 10;
@@ -61,9 +62,11 @@
 } // namespace
 
 CallerSession::CallerSession(RelayContext &context,
-                             asio::ip::tcp::socket socket)
-    : Context(context), Stream(std::move(socket)), IdleTimer(context.Loop) {
+                             asio::ip::tcp::socket socket, CloseCounts &closes)
+    : Context(context), Stream(std::move(socket)), IdleTimer(context.Loop),
+      Closes(closes), State(clock::steadyNow()) {
   boost::system::error_code ignored;
+  Stream.socket().non_blocking(true, ignored);
   // With Nagle's algorithm, small events wait until earlier ones are
   // acknowledged.
   Stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -78,13 +81,22 @@
 
 asio::awaitable<void> CallerSession::refuse() {
   const auto self = shared_from_this();
+  IsRefused = true;
+  const bool hasData = co_await awaitFirstByte();
+  if (!hasData) {
+    Stream.close();
+    co_return;
+  }
+  State.startReading();
   loop::RequestParser parser;
   parser.header_limit(limits().MaxHeaderBytes);
   parser.body_limit(boost::none);
   Stream.expires_after(toChrono(RefusalReadTimeout));
   const auto [ec, n] =
       co_await bhttp::async_read_header(Stream, Buffer, parser, AsTuple);
-  if (ec) {
+  if (ec && !(IsEnding && ec == asio::error::operation_aborted)) {
+    log::write(log::Level::Info, "request_incomplete",
+               {{"reason", ec.message()}, {"unparsed_bytes", Buffer.size()}});
     Stream.close();
     co_return;
   }
@@ -106,6 +118,7 @@
       co_return false;
     }
   }
+  State.startReading();
   core::limits::MemoryGrant headMemory(Context.Memory,
                                        core::limits::MemoryUse::RequestHead);
   core::limits::MemoryGrant bodyMemory(Context.Memory,
@@ -118,6 +131,7 @@
   if (!request.has_value())
     co_return false;
   Stream.expires_never();
+  State.startAnswering();
   auto runner = std::make_shared<CallRunner>(
       Context, Stream.socket(), std::move(*request), clock::steadyNow());
   Running = runner;
@@ -126,8 +140,10 @@
   if (!Stream.socket().is_open())
     co_return false;
   Stream.socket().cancel();
-  if (!isKeptOpen)
+  if (!isKeptOpen) {
+    State.startClosing(true);
     co_await loop::lingeringClose(Stream, Buffer, LingerBytes);
+  }
   co_return isKeptOpen;
 }
 
@@ -136,47 +152,105 @@
   return config == nullptr ? core::routes::CallerLimits{} : config->limits();
 }
 
-void CallerSession::closeIfIdle() {
+size_t CallerSession::untakenBytes() const {
   boost::system::error_code ec;
-  // A call whose first bytes have arrived is still read and answered.
-  if (Idle && Stream.socket().available(ec) == 0)
-    Stream.close();
+  return Buffer.size() + Stream.socket().available(ec);
 }
 
-bool CallerSession::hasUnansweredRequest() {
-  boost::system::error_code ec;
-  return IsReading || Buffer.size() > 0 || Stream.socket().available(ec) > 0;
+absl::Duration CallerSession::idleTimeout() const {
+  return IsRefused ? RefusalReadTimeout : limits().IdleTimeout;
+}
+
+void CallerSession::closeIfIdle(CloseReason reason) {
+  const absl::Time now = clock::steadyNow();
+  const size_t untaken = untakenBytes();
+  const bool isDue = reason == CloseReason::Shutdown
+                         ? State.closesForShutdown(now, untaken)
+                         : State.isIdle(untaken);
+  if (!isDue)
+    return;
+  Reason = reason;
+  ++Closes[static_cast<size_t>(Reason)];
+  IdleFor = State.idleTime(now);
+  State.startClosing(false);
+  boost::system::error_code ignored;
+  Stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  Stream.socket().cancel(ignored);
+}
+
+bool CallerSession::hasUnansweredRequest() const {
+  return State.isArriving(untakenBytes());
+}
+
+bool CallerSession::keepsNode(absl::Time now) const {
+  return State.keepsNode(now, untakenBytes());
+}
+
+void CallerSession::recordProcessEnd() {
+  if (State.phase() == core::relay::ConnectionPhase::Closing)
+    return;
+  Reason = CloseReason::ProcessEnd;
+  ++Closes[static_cast<size_t>(Reason)];
+  IdleFor = State.idleTime(clock::steadyNow());
+  recordClose(untakenBytes());
+}
+
+void CallerSession::recordClose(size_t unreadBytes) {
+  // At the end of a process all connections close; the counts suffice.
+  if (unreadBytes == 0 && Reason != CloseReason::IdleTimeout)
+    return;
+  log::write(unreadBytes == 0 ? log::Level::Info : log::Level::Warn,
+             "connection_closed",
+             {{"reason", core::relay::closeReasonName(Reason)},
+              {"idle_ms", absl::ToInt64Milliseconds(IdleFor)},
+              {"calls", State.calls()},
+              {"unread_bytes", unreadBytes}});
 }
 
 void CallerSession::abortCall() {
-  if (const auto runner = Running.lock())
+  const auto runner = Running.lock();
+  if (runner != nullptr && !IsEnding)
     runner->giveUp();
-  if (!IsReading)
-    return;
   IsEnding = true;
-  Stream.cancel();
+  if (State.phase() == core::relay::ConnectionPhase::Reading)
+    Stream.cancel();
 }
 
 asio::awaitable<bool> CallerSession::awaitFirstByte() {
   Stream.expires_never();
-  Idle = true;
-  armIdleTimer({clock::steadyNow(), limits().IdleTimeout});
-  const auto [ec, n] =
-      co_await Stream.async_read_some(Buffer.prepare(ReadBytes), AsTuple);
-  Idle = false;
+  const absl::Time now = clock::steadyNow();
+  State.startWaiting(now);
+  armIdleTimer({now, idleTimeout()});
+  boost::system::error_code ec;
+  do {
+    // A read would take bytes off the socket before this coroutine goes on.
+    co_await Stream.socket().async_wait(asio::ip::tcp::socket::wait_read,
+                                        AsTuple);
+    if (State.phase() == core::relay::ConnectionPhase::Closing)
+      break;
+    ec = loop::takeBytes(Stream.socket(), Buffer, ReadBytes);
+  } while (ec == asio::error::would_block);
   IdleTimer.cancel();
-  Buffer.commit(n);
-  co_return !ec;
+  const bool isClosing = State.phase() == core::relay::ConnectionPhase::Closing;
+  if (isClosing) {
+    co_await endClosing();
+  }
+  co_return !isClosing && !ec;
+}
+
+asio::awaitable<void> CallerSession::endClosing() {
+  const size_t unread = co_await loop::closeAfterPeer(Stream);
+  recordClose(unread);
 }
 
 void CallerSession::armIdleTimer(core::relay::IdleWait wait) {
   IdleTimer.expires_at(clock::waitDeadline(wait.endsAt(), clock::steadyNow()));
   IdleTimer.async_wait(
       [self = shared_from_this(), wait](boost::system::error_code ec) mutable {
-        if (ec || !self->Idle)
+        if (ec || self->State.phase() != core::relay::ConnectionPhase::Waiting)
           return;
-        if (wait.isOver(clock::steadyNow(), self->limits().IdleTimeout))
-          self->closeIfIdle();
+        if (wait.isOver(clock::steadyNow(), self->idleTimeout()))
+          self->closeIfIdle(CloseReason::IdleTimeout);
         else
           self->armIdleTimer(wait);
       });
@@ -189,11 +263,9 @@
   parser.header_limit(inForce.MaxHeaderBytes);
   parser.body_limit(inForce.MaxBodyBytes);
   Stream.expires_after(toChrono(inForce.HeaderTimeout));
-  IsReading = true;
   const boost::system::error_code readError =
       co_await loop::readRequest(Stream, Buffer, parser, isAmbiguous,
                                  toChrono(BodyReadTimeout), &bodyMemory);
-  IsReading = false;
   if (readError == loop::memoryFull()) {
     // An assignment would keep the capacity.
     std::string().swap(parser.get().body());
@@ -241,8 +313,10 @@
 
 asio::awaitable<void> CallerSession::writeLast(PlainResponse response) {
   response.set(bhttp::field::connection, "close");
+  State.startAnswering();
   Stream.expires_after(toChrono(RejectWriteTimeout));
   co_await bhttp::async_write(Stream, response, AsTuple);
+  State.startClosing(true);
   co_await loop::lingeringClose(Stream, Buffer, LingerBytes);
 }
 
@@ -265,8 +339,10 @@
               {"reason", code}});
   Context.Metrics.localErrorSent(code);
   response.set(bhttp::field::connection, "close");
+  State.startAnswering();
   Stream.expires_after(toChrono(RejectWriteTimeout));
   co_await bhttp::async_write(Stream, response, AsTuple);
+  State.startClosing(true);
   // Most clients read the answer only after they have sent the whole body.
   co_await loop::lingeringClose(Stream, Buffer, maxBodyBytes + LingerBytes,
                                 toChrono(BodyReadTimeout));
--- a/drivers/relay/caller_session.h
+++ b/drivers/relay/caller_session.h
@@ -1,21 +1,27 @@
 #ifndef ORIOLETALLY_DRIVERS_RELAY_CALLER_SESSION_H
 #define ORIOLETALLY_DRIVERS_RELAY_CALLER_SESSION_H
 
+#include "core/relay/connection_state.h"
 #include "core/relay/idle_wait.h"
 #include "drivers/loop/request_reader.h"
 #include "drivers/relay/call_runner.h"
 #include "drivers/relay/relay_context.h"
 
+#include <array>
 #include <memory>
 #include <optional>
 
 namespace orioletally::drivers::relay {
 
+/// Counts of the connections that the node closed by itself, by CloseReason.
+using CloseCounts = std::array<int64_t, core::relay::CloseReasonCount>;
+
 /// A caller's connection: reads calls one after another within the limits of
 /// the configuration, and rejects malformed ones.
 class CallerSession : public std::enable_shared_from_this<CallerSession> {
 public:
-  CallerSession(RelayContext &context, asio::ip::tcp::socket socket);
+  CallerSession(RelayContext &context, asio::ip::tcp::socket socket,
+                CloseCounts &closes);
 
   asio::awaitable<void> run();
 
@@ -23,11 +29,17 @@
   /// too many connections, and closes it.
   asio::awaitable<void> refuse();
 
-  /// Closes the connection unless a call is in progress or has begun to arrive.
-  void closeIfIdle();
+  /// Closes the connection if it may be closed because of \p reason.
+  void closeIfIdle(core::relay::CloseReason reason);
 
   /// Whether bytes of a request have arrived that no call answers yet.
-  bool hasUnansweredRequest();
+  bool hasUnansweredRequest() const;
+
+  /// Whether the process may not end at \p now because of this connection.
+  bool keepsNode(absl::Time now) const;
+
+  /// Logs that the process ends while the connection is open.
+  void recordProcessEnd();
 
   /// Ends the call in progress, if there is one, and refuses a call that has
   /// arrived only in part.
@@ -38,6 +50,12 @@
   /// Returns the limits of the configuration in force.
   core::routes::CallerLimits limits() const;
   asio::awaitable<bool> awaitFirstByte();
+  /// Closes the connection after its side of it was shut down.
+  asio::awaitable<void> endClosing();
+  /// Returns the number of bytes that have arrived and belong to no call yet.
+  size_t untakenBytes() const;
+  absl::Duration idleTimeout() const;
+  void recordClose(size_t unreadBytes);
   /// Closes the connection when \p wait ends, unless a call arrives first.
   void armIdleTimer(core::relay::IdleWait wait);
   asio::awaitable<std::optional<CallRequest>>
@@ -58,10 +76,13 @@
   beast::flat_buffer Buffer;
   std::weak_ptr<CallRunner> Running;
   asio::steady_timer IdleTimer;
-  /// Whether the connection waits for the next call.
-  bool Idle = false;
-  /// Whether a request has arrived in part.
-  bool IsReading = false;
+  CloseCounts &Closes;
+  core::relay::ConnectionState State;
+  core::relay::CloseReason Reason = core::relay::CloseReason::IdleTimeout;
+  /// How long the connection was idle when it was closed.
+  absl::Duration IdleFor = absl::ZeroDuration();
+  /// Whether the connection is one too many.
+  bool IsRefused = false;
   /// Whether a call that has arrived only in part is refused.
   bool IsEnding = false;
 };
--- a/drivers/relay/relay_server.cpp
+++ b/drivers/relay/relay_server.cpp
@@ -19,54 +19,79 @@
                                                size_t maxSessions) {
   BOOST_LEAF_ASSIGN(Listener, loop::Listener::open(Context.Loop, address));
   Listener->start([this, maxSessions](asio::ip::tcp::socket socket) {
-    const bool isFull = Sessions.size() >= maxSessions;
-    if (isFull)
-      log::write(log::Level::Warn, "connection_refused",
-                 {{"connections", Sessions.size()}});
-    if (isFull && Refusals >= MaxRefusals)
-      return;
-    auto session = std::make_shared<CallerSession>(Context, std::move(socket));
-    asio::co_spawn(Context.Loop,
-                   isFull ? refuseCall(std::move(session))
-                          : serveCalls(std::move(session)),
-                   asio::detached);
+    startSession(std::move(socket), maxSessions);
   });
   return {};
 }
 
+void RelayServer::startSession(asio::ip::tcp::socket socket,
+                               size_t maxSessions) {
+  const bool isFull = Sessions.size() >= maxSessions;
+  if (isFull)
+    log::write(log::Level::Warn, "connection_refused",
+               {{"connections", Sessions.size()}});
+  if (isFull && Refusals.size() >= MaxRefusals) {
+    ++Closes[static_cast<size_t>(core::relay::CloseReason::TooMany)];
+    return;
+  }
+  auto session =
+      std::make_shared<CallerSession>(Context, std::move(socket), Closes);
+  SessionList &list = isFull ? Refusals : Sessions;
+  const auto it = list.insert(list.end(), std::move(session));
+  asio::co_spawn(Context.Loop, isFull ? refuseCall(it) : serveCalls(it),
+                 asio::detached);
+}
+
+std::vector<std::shared_ptr<CallerSession>> RelayServer::all() const {
+  std::vector<std::shared_ptr<CallerSession>> result(Sessions.begin(),
+                                                     Sessions.end());
+  result.insert(result.end(), Refusals.begin(), Refusals.end());
+  return result;
+}
+
 void RelayServer::closeIdle() {
-  for (const std::shared_ptr<CallerSession> &it : Sessions)
-    it->closeIfIdle();
+  for (const std::shared_ptr<CallerSession> &it : all())
+    it->closeIfIdle(core::relay::CloseReason::Shutdown);
 }
 
 void RelayServer::abortCalls() {
-  // A call that ends may remove its session from the list.
-  const std::list<std::shared_ptr<CallerSession>> sessions = Sessions;
-  for (const std::shared_ptr<CallerSession> &it : sessions)
+  for (const std::shared_ptr<CallerSession> &it : all())
     it->abortCall();
 }
 
 size_t RelayServer::unansweredRequests() const {
+  const auto sessions = all();
   return static_cast<size_t>(
-      std::count_if(Sessions.begin(), Sessions.end(),
+      std::count_if(sessions.begin(), sessions.end(),
                     [](const auto &it) { return it->hasUnansweredRequest(); }));
 }
 
+size_t RelayServer::unfinished(absl::Time now) const {
+  const auto sessions = all();
+  return static_cast<size_t>(
+      std::count_if(sessions.begin(), sessions.end(),
+                    [now](const auto &it) { return it->keepsNode(now); }));
+}
+
+const CloseCounts &RelayServer::recordProcessEnd() {
+  for (const std::shared_ptr<CallerSession> &it : all())
+    it->recordProcessEnd();
+  return Closes;
+}
+
 void RelayServer::stopAccepting() {
   if (Listener != nullptr)
     Listener->close();
 }
 
-asio::awaitable<void>
-RelayServer::refuseCall(std::shared_ptr<CallerSession> session) {
-  ++Refusals;
+asio::awaitable<void> RelayServer::refuseCall(SessionList::iterator it) {
+  const std::shared_ptr<CallerSession> session = *it;
   co_await session->refuse();
-  --Refusals;
+  Refusals.erase(it);
 }
 
-asio::awaitable<void>
-RelayServer::serveCalls(std::shared_ptr<CallerSession> session) {
-  const auto it = Sessions.insert(Sessions.end(), session);
+asio::awaitable<void> RelayServer::serveCalls(SessionList::iterator it) {
+  const std::shared_ptr<CallerSession> session = *it;
   co_await session->run();
   Sessions.erase(it);
 }
--- a/drivers/relay/relay_server.h
+++ b/drivers/relay/relay_server.h
@@ -9,6 +9,7 @@
 #include <list>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace orioletally::drivers::relay {
 
@@ -23,8 +24,8 @@
   boost::leaf::result<void> listenForCalls(const std::string &address,
                                            size_t maxSessions);
 
-  /// Closes connections without a call in progress, so that callers open their
-  /// next one to another node.
+  /// Closes connections on which no call has arrived for a while, so that
+  /// callers open their next one to another node.
   void closeIdle();
 
   /// Ends the calls in progress and those that are being read, because the
@@ -35,18 +36,32 @@
   /// answers yet.
   size_t unansweredRequests() const;
 
+  /// Returns how many connections have a call that isn't answered, or a call
+  /// that may still arrive, at \p now.
+  size_t unfinished(absl::Time now) const;
+
+  /// Records that the process ends and returns how many connections this node
+  /// has closed by itself.
+  const CloseCounts &recordProcessEnd();
+
   /// Stops accepting connections; open ones stay.
   void stopAccepting();
 
 private:
-  asio::awaitable<void> refuseCall(std::shared_ptr<CallerSession> session);
-  asio::awaitable<void> serveCalls(std::shared_ptr<CallerSession> session);
+  using SessionList = std::list<std::shared_ptr<CallerSession>>;
+
+  void startSession(asio::ip::tcp::socket socket, size_t maxSessions);
+  asio::awaitable<void> refuseCall(SessionList::iterator it);
+  asio::awaitable<void> serveCalls(SessionList::iterator it);
+  /// Returns all sessions; one that ends may leave its list meanwhile.
+  std::vector<std::shared_ptr<CallerSession>> all() const;
 
   RelayContext &Context;
   std::shared_ptr<loop::Listener> Listener;
-  std::list<std::shared_ptr<CallerSession>> Sessions;
+  SessionList Sessions;
   /// Connections beyond the limit that are being refused.
-  size_t Refusals = 0;
+  SessionList Refusals;
+  CloseCounts Closes = {};
 };
 
 } // namespace orioletally::drivers::relay
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -36,6 +36,7 @@
 constexpr absl::Duration ExitMargin = absl::Milliseconds(300);
 /// Part of ExitMargin in which aborted calls write their errors.
 constexpr auto AbortTime = std::chrono::milliseconds(150);
+constexpr auto AbortInterval = std::chrono::milliseconds(30);
 constexpr auto DrainPollInterval = std::chrono::milliseconds(50);
 constexpr auto MaintenanceInterval = std::chrono::seconds(1);
 constexpr auto WatchPolicyInterval = std::chrono::milliseconds(100);
@@ -492,9 +493,22 @@
     drivers::log::write(
         drivers::log::Level::Warn, "calls_aborted",
         {{"in_progress", Context.InProgress}, {"unanswered", unanswered}});
-    Server.abortCalls();
-    timer.expires_after(AbortTime);
-    co_await timer.async_wait(AsTuple);
+    const auto end = std::chrono::steady_clock::now() + AbortTime;
+    // Calls that begin to be read meanwhile are ended as well.
+    while (std::chrono::steady_clock::now() < end) {
+      Server.abortCalls();
+      timer.expires_after(AbortInterval);
+      co_await timer.async_wait(AsTuple);
+    }
+  }
+
+  nlohmann::json closedConnections() {
+    const drivers::relay::CloseCounts &counts = Server.recordProcessEnd();
+    nlohmann::json result = nlohmann::json::object();
+    for (size_t n = 0; n < counts.size(); ++n)
+      result[std::string(core::relay::closeReasonName(
+          static_cast<core::relay::CloseReason>(n)))] = counts[n];
+    return result;
   }
 
   asio::awaitable<void> drainOnSignal() {
@@ -511,9 +525,12 @@
     asio::steady_timer timer(Loop);
     for (;;) {
       const absl::Time now = drivers::clock::steadyNow();
+      if (plan.stopsAccepting(now, Context.InProgress,
+                              Server.unansweredRequests()))
+        Server.stopAccepting();
       if (plan.closesIdle(now))
         Server.closeIdle();
-      if (plan.isOver(now, Context.InProgress, Server.unansweredRequests()))
+      if (plan.isOver(now, Context.InProgress, Server.unfinished(now)))
         break;
       timer.expires_after(DrainPollInterval);
       co_await timer.async_wait(AsTuple);
@@ -522,7 +539,8 @@
     Server.stopAccepting();
     co_await endCalls(timer);
     drivers::log::write(drivers::log::Level::Info, "connections_closed",
-                        {{"unanswered", Server.unansweredRequests()}});
+                        {{"unanswered", Server.unansweredRequests()},
+                         {"closed", closedConnections()}});
     Guard.stop();
     Source.stop();
     Peers.stop();
--- a/tests/core/test_drain_plan.cpp
+++ b/tests/core/test_drain_plan.cpp
@@ -23,6 +23,14 @@
   CHECK_FALSE(plan.isOver(at(6'999), 0, 1));
 }
 
+TEST(DrainPlan, LastConnectionsHaveTimeToSendTheirCalls) {
+  CHECK_FALSE(plan.stopsAccepting(at(1'999), 0, 0));
+  CHECK(plan.stopsAccepting(at(2'000), 0, 0));
+  CHECK_FALSE(plan.stopsAccepting(at(5'999), 1, 0));
+  CHECK_FALSE(plan.stopsAccepting(at(5'999), 0, 1));
+  CHECK(plan.stopsAccepting(at(6'000), 1, 1));
+}
+
 TEST(DrainPlan, NothingKeepsTheNodeBeyondItsGracePeriod) {
   CHECK(plan.isOver(at(7'000), 1, 1));
 }
