Let the HTTP server answer what has arrived when it closes

What callers saw: a request to a server of the process that closes (the gateway's API) was cut off when it had arrived and wasn't taken yet, and when its connection waited to be accepted.

Cause: a session was busy only after its coroutine had gone on from the first read, and closeIfIdle didn't look at the socket.

Fix: wait for readiness, take the bytes in the session's own turn, close only a connection without untaken bytes, by the end of the server's side. The idle timeout reads what arrived with it.

Not done: the servers for readiness and metrics of a relay node still end with their process.

--- a/drivers/http/http_session.cpp
+++ b/drivers/http/http_session.cpp
@@ -72,6 +72,7 @@
       IsSingleRequest(isSingleRequest) {
   boost::system::error_code ignored;
   Stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+  Stream.socket().non_blocking(true, ignored);
 }
 
 asio::awaitable<void> HttpSession::run() {
@@ -82,8 +83,12 @@
 }
 
 void HttpSession::closeIfIdle() {
-  if (!Busy)
-    Stream.close();
+  boost::system::error_code ec;
+  if (IsBusy || Stream.socket().available(ec) > 0)
+    return;
+  IsClosing = true;
+  Stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+  Stream.socket().cancel(ec);
 }
 
 asio::awaitable<bool> HttpSession::serveOne() {
@@ -93,7 +98,7 @@
       co_return false;
     }
   }
-  Busy = true;
+  IsBusy = true;
   std::optional<Incoming> incoming = co_await readRequest();
   if (!incoming.has_value()) {
     co_return false;
@@ -110,16 +115,31 @@
   }
   Stream.socket().cancel();
   const bool keepAlive = co_await completeResponse(*incoming, reply);
-  Busy = false;
+  IsBusy = false;
   co_return keepAlive;
 }
 
 asio::awaitable<bool> HttpSession::awaitFirstByte() {
-  Stream.expires_after(toChrono(Server->Settings.IdleTimeout));
-  const auto [ec, n] =
-      co_await Stream.async_read_some(Buffer.prepare(FirstReadBytes), AsTuple);
-  Buffer.commit(n);
-  co_return !ec;
+  Stream.expires_never();
+  boost::system::error_code ec;
+  {
+    const loop::CancelAfter idleTimeout(Stream,
+                                        toChrono(Server->Settings.IdleTimeout));
+    do {
+      // A read would take bytes off the socket before this coroutine goes on.
+      co_await Stream.socket().async_wait(asio::ip::tcp::socket::wait_read,
+                                          AsTuple);
+      if (IsClosing)
+        break;
+      ec = loop::takeBytes(Stream.socket(), Buffer, FirstReadBytes);
+      if (ec == asio::error::would_block && idleTimeout.hasExpired())
+        closeIfIdle();
+    } while (ec == asio::error::would_block && !IsClosing);
+  }
+  if (IsClosing) {
+    co_await loop::closeAfterPeer(Stream);
+  }
+  co_return !IsClosing && !ec;
 }
 
 asio::awaitable<std::optional<HttpSession::Incoming>>
--- a/drivers/http/http_session.h
+++ b/drivers/http/http_session.h
@@ -18,7 +18,7 @@
 
   asio::awaitable<void> run();
 
-  /// Closes the connection unless a request is in progress.
+  /// Closes the connection unless a request is in progress or has arrived.
   void closeIfIdle();
 
 private:
@@ -53,7 +53,10 @@
   beast::tcp_stream Stream;
   beast::flat_buffer Buffer;
   bool IsSingleRequest;
-  bool Busy = false;
+  /// Whether a request is being read or answered.
+  bool IsBusy = false;
+  /// Whether the server's side of the idle connection was shut down.
+  bool IsClosing = false;
 };
 
 } // namespace orioletally::drivers::http
--- a/tests/drivers/test_http_server.cpp
+++ b/tests/drivers/test_http_server.cpp
@@ -94,6 +94,30 @@
   LONGS_EQUAL(Burst, completed.load());
 }
 
+// A request that has arrived when the server closes must not be cut off.
+TEST(HttpServer, RequestsThatArriveBesideTheCloseAreAnswered) {
+  RunningServer running(settingsOf(0, 10));
+  running.Server.routes().add("GET", "/",
+                              answerAfter(std::chrono::milliseconds(10), "ok"));
+  CHECK(running.start());
+  const std::string address =
+      "127.0.0.1:" + std::to_string(running.Server.port());
+  const std::string request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+  const auto kept = lab::connectTo(address);
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  std::unique_ptr<lab::RawConnection> late;
+  running.Runner.run([&] {
+    kept->write(request);
+    late = lab::connectTo(address);
+    late->write(request);
+    running.Server.close();
+  });
+  for (const auto &it : {kept.get(), late.get()}) {
+    const std::string answer = it->receiveAll(2000);
+    CHECK_TEXT(answer.starts_with("HTTP/1.1 200"), answer.c_str());
+  }
+}
+
 TEST(HttpServer, PortInUseIsAnError) {
   RunningServer first(settingsOf(0, 10));
   CHECK(first.start());
