Release reserved memory that no prompt uses before 9 s

Cause: MemoryLease renewed a reservation as long as its attempt was in progress, also while the first engine left the prompt in its queue. The users allow 9 s without use.

From 6.5 s on, each renewal asks the holding engine's report whether a prompt uses the memory (core/relay/reservation_use). If it says "held", and none of the attempt's reservations is used, all are released. A call that may be repeated ends the attempt, as stalled, and goes elsewhere as the policy allows; one that may not waits for the engine's refusal, which says truthfully that it wasn't run. Memory in use, or of unknown use, is kept. New log lines: memory_use, memory_unused. The time is in no other bound.

Weighed: giving up by the clock alone would end long prompts that are read.

--- a/core/relay/call_head.h
+++ b/core/relay/call_head.h
@@ -1,6 +1,8 @@
 #ifndef ORIOLETALLY_CORE_RELAY_CALL_HEAD_H
 #define ORIOLETALLY_CORE_RELAY_CALL_HEAD_H
 
+#include "core/relay/reservation_use.h"
+
 #include <absl/time/time.h>
 #include <absl/types/span.h>
 #include <cstdint>
@@ -122,6 +124,14 @@
   virtual BackendCommand
   encodeRelease(const std::string &reservation) const = 0;
 
+  /// Returns the path at which an engine reports its reservations.
+  virtual std::string reportTarget() const = 0;
+
+  /// Returns what an engine's \p report says about \p reservation.
+  virtual ReservationUse
+  decodeReservationUse(std::string_view report,
+                       const std::string &reservation) const = 0;
+
   /// Returns the headers of the node's own answer to the attempt \p id.
   virtual std::vector<HeaderLine>
   encodeOwnAnswer(std::string_view id) const = 0;
--- a/drivers/relay/attempt_runner.cpp
+++ b/drivers/relay/attempt_runner.cpp
@@ -173,7 +173,7 @@
     }
     auto lease = std::make_shared<MemoryLease>(
         Context.Loop, Context.Codec, Target.Helpers[n]->Entry.Address,
-        reservationName(n), Target.Reserved[n]);
+        reservationName(n), Target.Reserved[n], [this] { memoryUnused(); });
     Leases.push_back(lease);
     const bool isAcquired = co_await lease->acquire();
     if (!isAcquired || isStopped())
@@ -182,6 +182,28 @@
   co_return true;
 }
 
+void AttemptRunner::memoryUnused() {
+  // The memory of a prompt that has begun is filled in turn.
+  const bool hasBegun =
+      Target.FirstTokenAt.has_value() ||
+      std::any_of(Leases.begin(), Leases.end(),
+                  [](const auto &it) { return it->isUsed(); });
+  if (hasBegun || isStopped())
+    return;
+  log::write(log::Level::Info, "memory_unused",
+             {{"id", Call.Head.AttemptId},
+              {"backend", Target.Server->Entry.Id},
+              {"repeatable", Call.Route->mayRepeat()}});
+  for (const std::shared_ptr<MemoryLease> &it : Leases)
+    it->release();
+  // Its backend server now refuses the prompt when it comes to it. A call that
+  // may be repeated needn't wait for that.
+  if (!Call.Route->mayRepeat())
+    return;
+  IsMemoryLost = true;
+  closeChannel();
+}
+
 asio::awaitable<AttemptEnd> AttemptRunner::exchange() {
   if (!co_await openChannel())
     co_return interruptedEnd(false);
@@ -225,7 +247,8 @@
         Stopped == AttemptEnd::Superseded || Stopped == AttemptEnd::Stalled;
     return isWithdrawn ? AttemptEnd::Withdrawn : AttemptEnd::NotSent;
   }
-  return Stopped.value_or(AttemptEnd::Broken);
+  return Stopped.value_or(IsMemoryLost ? AttemptEnd::Stalled
+                                       : AttemptEnd::Broken);
 }
 
 bhttp::request<bhttp::span_body<const char>>
--- a/drivers/relay/attempt_runner.h
+++ b/drivers/relay/attempt_runner.h
@@ -132,6 +132,8 @@
   /// the attempt was stopped.
   asio::awaitable<bool> reserveMemory();
   std::string reservationName(size_t n) const;
+  /// An engine says that no prompt uses the memory that is reserved there.
+  void memoryUnused();
   /// Sets Channel to a connection to the backend server, reused or new; returns
   /// false if there is none or the attempt was stopped.
   asio::awaitable<bool> openChannel();
@@ -194,6 +196,8 @@
   /// Set when the attempt is ended early.
   std::optional<core::relay::AttemptEnd> Stopped;
   bool IsDoubted = false;
+  /// Whether its memory was released before the prompt began.
+  bool IsMemoryLost = false;
   /// Whether the answer has shown that the prompt's parts are sound.
   bool IsPromptSound = false;
   StreamHead Head;
--- a/drivers/relay/memory_lease.cpp
+++ b/drivers/relay/memory_lease.cpp
@@ -1,5 +1,6 @@
 #include "drivers/relay/memory_lease.h"
 
+#include "drivers/clock/clock.h"
 #include "drivers/log/log.h"
 
 #include <utility>
@@ -17,16 +18,18 @@
 constexpr absl::Duration CommandTimeout = absl::Milliseconds(400);
 constexpr int MaxReleaseAttempts = 3;
 constexpr int StatusOk = 200;
-/// Only the status of an answer matters.
-constexpr uint64_t MaxAnswerBytes = 16 << 10;
+/// A report lists at most 64 reservations.
+constexpr uint64_t MaxAnswerBytes = 64 << 10;
 
 } // namespace
 
 MemoryLease::MemoryLease(asio::io_context &loop,
                          const core::relay::CallCodec &codec,
-                         std::string address, std::string name, int64_t tokens)
+                         std::string address, std::string name, int64_t tokens,
+                         std::function<void()> onUnused)
     : Loop(loop), Codec(codec), Name(std::move(name)), Tokens(tokens),
-      Client(loop, std::move(address)), Timer(loop) {}
+      Client(loop, std::move(address)), Timer(loop),
+      OnUnused(std::move(onUnused)) {}
 
 asio::awaitable<int>
 MemoryLease::sendCommand(core::relay::BackendCommand command) {
@@ -39,6 +42,7 @@
 
 asio::awaitable<bool> MemoryLease::acquire() {
   IsAcquiring = true;
+  ReservedAt = clock::steadyNow();
   const int status =
       co_await sendCommand(Codec.encodeReserve(Name, Tokens, LeaseDuration));
   IsAcquiring = false;
@@ -67,14 +71,40 @@
     if (status != StatusOk)
       log::write(log::Level::Warn, "memory_not_renewed",
                  {{"reservation", Name}, {"status", status}});
+    const bool isAsking =
+        core::relay::shouldAskForUse(clock::steadyNow() - ReservedAt, Use);
+    if (isAsking && !IsReleased) {
+      co_await askForUse();
+    }
   }
   co_await sendRelease();
 }
 
+asio::awaitable<void> MemoryLease::askForUse() {
+  loop::HttpCall call =
+      loop::HttpCall::get(Codec.reportTarget(), CommandTimeout);
+  call.MaxAnswerBytes = MaxAnswerBytes;
+  const loop::HttpCallResult answer = co_await Client.call(std::move(call));
+  Use = answer.Status == StatusOk
+            ? Codec.decodeReservationUse(answer.Body, Name)
+            : core::relay::ReservationUse::Unknown;
+  // Most prompts don't come here.
+  log::write(
+      log::Level::Info, "memory_use",
+      {{"reservation", Name},
+       {"held_ms", absl::ToInt64Milliseconds(clock::steadyNow() - ReservedAt)},
+       {"status", answer.Status},
+       {"use", core::relay::reservationUseName(Use)}});
+  const std::function<void()> onUnused = OnUnused;
+  if (Use == core::relay::ReservationUse::Unused && onUnused)
+    onUnused();
+}
+
 void MemoryLease::release() {
   if (IsReleased)
     return;
   IsReleased = true;
+  OnUnused = nullptr;
   Timer.cancel();
   // The command in progress ends early; the release follows it.
   if (IsAcquiring)
--- a/drivers/relay/memory_lease.h
+++ b/drivers/relay/memory_lease.h
@@ -5,7 +5,9 @@
 #include "drivers/loop/asio_use.h"
 #include "drivers/loop/http_client.h"
 
+#include <absl/time/time.h>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -16,9 +18,12 @@
 class MemoryLease : public std::enable_shared_from_this<MemoryLease> {
 public:
   /// \p address is the engine's "ip:port". \p name is the id of the reservation
-  /// and must be unique among all nodes.
+  /// and must be unique among all nodes. Calls \p onUnused, until release(),
+  /// when the memory has been reserved for almost as long as engines may keep
+  /// it unused, and the engine says that no prompt uses it.
   MemoryLease(asio::io_context &loop, const core::relay::CallCodec &codec,
-              std::string address, std::string name, int64_t tokens);
+              std::string address, std::string name, int64_t tokens,
+              std::function<void()> onUnused);
 
   /// Reserves the memory and, on success, keeps renewing the lease. Returns
   /// false when the engine refuses or doesn't answer in time, or when release()
@@ -28,10 +33,15 @@
   /// Releases the memory, also when it is unknown whether it was reserved.
   void release();
 
+  /// Whether the engine has said that a prompt uses the memory.
+  bool isUsed() const { return Use == core::relay::ReservationUse::Used; }
+
 private:
   /// Returns the status of the answer; 0 without one.
   asio::awaitable<int> sendCommand(core::relay::BackendCommand command);
   asio::awaitable<void> renew();
+  /// Asks the engine whether a prompt uses the memory.
+  asio::awaitable<void> askForUse();
   void spawnRelease();
   asio::awaitable<void> sendRelease();
 
@@ -41,6 +51,9 @@
   int64_t Tokens;
   loop::HttpClient Client;
   asio::steady_timer Timer;
+  std::function<void()> OnUnused;
+  absl::Time ReservedAt;
+  core::relay::ReservationUse Use = core::relay::ReservationUse::Unknown;
   bool IsAcquiring = false;
   bool IsRenewing = false;
   bool IsReleased = false;
