Keep the earlier idle timeout for callers that may still follow it

Cause: a wait that begins just after a shorter idle timeout came into force used it, while the caller, which learns of the configuration later, still relies on the longer one and sends on a connection that is closed or being closed. IdleWait covers only waits that had begun before the change.

Fix: RecentIdleTimeout keeps the longest timeout of the last five seconds for new waits of all sessions.

--- a/drivers/relay/caller_session.cpp
+++ b/drivers/relay/caller_session.cpp
@@ -62,9 +62,10 @@
 } // namespace
 
 CallerSession::CallerSession(RelayContext &context,
-                             asio::ip::tcp::socket socket, CloseCounts &closes)
+                             asio::ip::tcp::socket socket,
+                             SharedSessionState &shared)
     : Context(context), Stream(std::move(socket)), IdleTimer(context.Loop),
-      Closes(closes), State(clock::steadyNow()) {
+      Shared(shared), State(clock::steadyNow()) {
   boost::system::error_code ignored;
   Stream.socket().non_blocking(true, ignored);
   // With Nagle's algorithm, small events wait until earlier ones are
@@ -170,7 +171,7 @@
   if (!isDue)
     return;
   Reason = reason;
-  ++Closes[static_cast<size_t>(Reason)];
+  ++Shared.Closes[static_cast<size_t>(Reason)];
   IdleFor = State.idleTime(now);
   State.startClosing(false);
   boost::system::error_code ignored;
@@ -190,7 +191,7 @@
   if (State.phase() == core::relay::ConnectionPhase::Closing)
     return;
   Reason = CloseReason::ProcessEnd;
-  ++Closes[static_cast<size_t>(Reason)];
+  ++Shared.Closes[static_cast<size_t>(Reason)];
   IdleFor = State.idleTime(clock::steadyNow());
   recordClose(untakenBytes());
 }
@@ -220,7 +221,9 @@
   Stream.expires_never();
   const absl::Time now = clock::steadyNow();
   State.startWaiting(now);
-  armIdleTimer({now, idleTimeout()});
+  armIdleTimer({now, IsRefused
+                         ? RefusalReadTimeout
+                         : Shared.IdleTimeout.forWait(now, idleTimeout())});
   boost::system::error_code ec;
   do {
     // A read would take bytes off the socket before this coroutine goes on.
--- a/drivers/relay/caller_session.h
+++ b/drivers/relay/caller_session.h
@@ -3,6 +3,7 @@
 
 #include "core/relay/connection_state.h"
 #include "core/relay/idle_wait.h"
+#include "core/relay/recent_idle_timeout.h"
 #include "drivers/loop/request_reader.h"
 #include "drivers/relay/call_runner.h"
 #include "drivers/relay/relay_context.h"
@@ -16,12 +17,18 @@
 /// Counts of the connections that the node closed by itself, by CloseReason.
 using CloseCounts = std::array<int64_t, core::relay::CloseReasonCount>;
 
+/// State shared by the sessions of a node.
+struct SharedSessionState {
+  CloseCounts Closes = {};
+  core::relay::RecentIdleTimeout IdleTimeout;
+};
+
 /// A caller's connection: reads calls one after another within the limits of
 /// the configuration, and rejects malformed ones.
 class CallerSession : public std::enable_shared_from_this<CallerSession> {
 public:
   CallerSession(RelayContext &context, asio::ip::tcp::socket socket,
-                CloseCounts &closes);
+                SharedSessionState &shared);
 
   asio::awaitable<void> run();
 
@@ -76,7 +83,7 @@
   beast::flat_buffer Buffer;
   std::weak_ptr<CallRunner> Running;
   asio::steady_timer IdleTimer;
-  CloseCounts &Closes;
+  SharedSessionState &Shared;
   core::relay::ConnectionState State;
   core::relay::CloseReason Reason = core::relay::CloseReason::IdleTimeout;
   /// How long the connection was idle when it was closed.
--- a/drivers/relay/relay_server.cpp
+++ b/drivers/relay/relay_server.cpp
@@ -31,11 +31,11 @@
     log::write(log::Level::Warn, "connection_refused",
                {{"connections", Sessions.size()}});
   if (isFull && Refusals.size() >= MaxRefusals) {
-    ++Closes[static_cast<size_t>(core::relay::CloseReason::TooMany)];
+    ++Shared.Closes[static_cast<size_t>(core::relay::CloseReason::TooMany)];
     return;
   }
   auto session =
-      std::make_shared<CallerSession>(Context, std::move(socket), Closes);
+      std::make_shared<CallerSession>(Context, std::move(socket), Shared);
   SessionList &list = isFull ? Refusals : Sessions;
   const auto it = list.insert(list.end(), std::move(session));
   asio::co_spawn(Context.Loop, isFull ? refuseCall(it) : serveCalls(it),
@@ -76,7 +76,7 @@
 const CloseCounts &RelayServer::recordProcessEnd() {
   for (const std::shared_ptr<CallerSession> &it : all())
     it->recordProcessEnd();
-  return Closes;
+  return Shared.Closes;
 }
 
 void RelayServer::stopAccepting() {
--- a/drivers/relay/relay_server.h
+++ b/drivers/relay/relay_server.h
@@ -61,7 +61,7 @@
   SessionList Sessions;
   /// Connections beyond the limit that are being refused.
   SessionList Refusals;
-  CloseCounts Closes = {};
+  SharedSessionState Shared;
 };
 
 } // namespace orioletally::drivers::relay
--- a/tests/platform/test_closing.cpp
+++ b/tests/platform/test_closing.cpp
@@ -277,3 +277,21 @@
   CHECK(fixture.Process.waitEvent("connection_closed", std::chrono::seconds(2))
             .has_value());
 }
+
+// Callers learn of a shorter idle timeout later than the node does.
+TEST(Closing, CallersMayFollowTheEarlierIdleTimeoutForAWhile) {
+  CHECK(start("grace_s = 4"));
+  Connection caller(fixture.CallsAddress);
+  CHECK(caller.call(request("/read/x", "a1")) == Outcome::Served);
+  json config = json::parse(fixture.Store.value("op", "config"));
+  config["limits"]["idle_timeout_ms"] = 1'000;
+  config["version"] = 2;
+  fixture.Store.put("op", "config", config.dump());
+  CHECK(within(AnswerMs, [this] {
+    Connection(fixture.CallsAddress).call(request("/read/x", "look"));
+    return fixture.Process.log().find("\"config\":2,") != std::string::npos;
+  }));
+  CHECK(caller.call(request("/read/x", "a2")) == Outcome::Served);
+  sleepMs(2'000);
+  CHECK(caller.call(request("/read/x", "a3")) == Outcome::Served);
+}
