Rebuild the index of servers once for all changes read at once

A turn of the loop that applies the changes of many servers, as after a pause of the watch or a replacement of VMs, rebuilt the directory's index for each of them: 24 ms of processor time for 300 changes (trial by hand), 200 ms on a node with 0.12 of a core. The index is now rebuilt once, as for a whole list; nothing searches it in between.

BackendDirectory.ThreeHundredChangesAtOnceTakeThreeMilliseconds fails without the batch (14 tests, 1 failure) and passes with it (14 tests). Linked by hand; the node with this commit wasn't built, fleet_view.cpp was only compiled.

--- a/core/fleet/backend_directory.cpp
+++ b/core/fleet/backend_directory.cpp
@@ -223,7 +223,7 @@
 }
 
 void BackendDirectory::rebuildIndexIfStale() {
-  if (IsIndexStale)
+  if (IsIndexStale && Batches == 0)
     rebuildIndex();
 }
 
--- a/core/fleet/backend_directory.h
+++ b/core/fleet/backend_directory.h
@@ -79,6 +79,24 @@
   /// it is only marked to expire.
   DirectoryChange remove(std::string_view id, absl::Time now);
 
+  /// While it exists, the directory isn't searched by service or by hash, and
+  /// its index is rebuilt once for all changes, at the end.
+  class Batch {
+  public:
+    explicit Batch(BackendDirectory &directory) : Directory(directory) {
+      ++Directory.Batches;
+    }
+    ~Batch() {
+      --Directory.Batches;
+      Directory.rebuildIndexIfStale();
+    }
+    Batch(const Batch &) = delete;
+    Batch &operator=(const Batch &) = delete;
+
+  private:
+    BackendDirectory &Directory;
+  };
+
   /// Applies \p change, received from \p source.
   DirectoryChange apply(const BackendChange &change, ChangeSource source,
                         absl::Time now);
@@ -163,6 +181,7 @@
   std::vector<NodePlace> Nodes;
   CellPlan Plan;
   bool IsIndexStale = false;
+  int Batches = 0;
   bool IsRead = false;
   bool IsListUnavailable = false;
   absl::Time ListAvailableSince = absl::InfinitePast();
--- a/drivers/relay/fleet_view.cpp
+++ b/drivers/relay/fleet_view.cpp
@@ -123,6 +123,8 @@
 void FleetView::applyNewChanges(std::vector<BackendChange> &changes,
                                 ChangeSource source) {
   const absl::Time now = clock::steadyNow();
+  const core::fleet::BackendDirectory::Batch batch(
+      Context.Dispatcher.directory());
   for (BackendChange &it : changes) {
     const bool isNew = ListVersions.isNew(it.Entry.RowVersion);
     if (isNew)
--- a/tests/core/test_backend_directory.cpp
+++ b/tests/core/test_backend_directory.cpp
@@ -1,6 +1,11 @@
 #include "core/fleet/backend_directory.h"
+#include "drivers/clock/clock.h"
 #include "tests/support/request_fixture.h"
 
+#include <algorithm>
+#include <string>
+
+// Last: it defines a macro called new.
 #include <CppUTest/TestHarness.h>
 
 using namespace orioletally::core::fleet;
@@ -45,6 +50,36 @@
   LONGS_EQUAL(0, usableCount(at(1)));
 }
 
+// 25 ms on a VM that has 0.12 of a core; sanitizers take many times as long.
+TEST(BackendDirectory, ThreeHundredChangesAtOnceTakeThreeMilliseconds) {
+  constexpr int Servers = 300;
+#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
+  constexpr absl::Duration MaxTime = 20 * absl::Milliseconds(3);
+#else
+  constexpr absl::Duration MaxTime = absl::Milliseconds(3);
+#endif
+  const auto change = [](int n, uint64_t version, int64_t startedAtMs) {
+    BackendChange result;
+    result.Entry = entry(std::to_string(n), version, false, startedAtMs);
+    return result;
+  };
+  absl::Duration least = absl::InfiniteDuration();
+  for (uint64_t round = 1; round <= 3; ++round) {
+    const absl::Duration before =
+        orioletally::drivers::clock::threadProcessorTime();
+    {
+      const BackendDirectory::Batch batch(directory);
+      for (int n = 0; n < Servers; ++n)
+        directory.apply(change(n, round, static_cast<int64_t>(round)),
+                        ChangeSource::Store, at(0));
+    }
+    least = std::min(least, orioletally::drivers::clock::threadProcessorTime() -
+                                before);
+    LONGS_EQUAL(Servers, usableCount(at(0)));
+  }
+  CHECK(least <= MaxTime);
+}
+
 TEST(BackendDirectory, IgnoresAnOlderRowVersion) {
   directory.put(entry("a", 5, true), at(0));
   CHECK(directory.put(entry("a", 4), at(1)) == DirectoryChange::None);
