Keep a silent prompt's memory until another attempt has spoken

Where the second one refused or erred, the caller got 502 though the first would have answered.

Cause: doubt was acted on as if it were knowledge, for the sake of the memory. An engine cuts off a prompt whose memory is released, so there is no way to release it and keep the attempt.

--- a/core/relay/attempt_policy.h
+++ b/core/relay/attempt_policy.h
@@ -31,7 +31,8 @@
   /// inside an event.
   Broken,
   /// No event or answer arrived within the silence timeout, and another
-  /// attempt was answered first.
+  /// attempt was answered first; or the prompt hadn't begun when its reserved
+  /// memory had to be released.
   Stalled,
   /// The received bytes aren't an answer to this call.
   Garbled,
--- a/drivers/relay/attempt_runner.h
+++ b/drivers/relay/attempt_runner.h
@@ -107,11 +107,6 @@
     return Lifecycle.state() == core::relay::AttemptState::Forwarding;
   }
 
-  /// Whether memory is reserved for it that no engine seems to use.
-  bool holdsUnusedMemory() const {
-    return !Leases.empty() && !Target.FirstTokenAt.has_value();
-  }
-
   const core::relay::Dispatch &dispatch() const { return Target; }
   const AttemptRecord &record() const { return Record; }
   std::optional<int64_t> lastEventId() const { return Events.lastId(); }
--- a/drivers/relay/call_runner.cpp
+++ b/drivers/relay/call_runner.cpp
@@ -379,12 +379,8 @@
     auto *dispatch = std::get_if<Dispatch>(&chosen);
     isOverlapped =
         dispatch != nullptr && Context.Dispatcher.tryRetry(Service, now);
-    if (isOverlapped) {
+    if (isOverlapped)
       start(std::move(*dispatch), now);
-      // Engines may not keep memory reserved that nobody uses.
-      if (attempt.holdsUnusedMemory())
-        attempt.stop(AttemptEnd::Stalled);
-    }
   }
   log::write(log::Level::Info, "silence",
              {{"id", Call.Head.AttemptId},
