Test when a lifted limit of 0 is known

Asked: after a limit of 0 is lifted, 5 of 12 calls are served in the seconds after it. Which node believes what, and why.

Neither believes anything wrong: a limit of 0 is used as 0.1 requests a second, so the next call that can learn of the end is sent 10 s after the last one.

No product change.

The test passes on the code before (characterization).

--- a/tests/platform/test_request_limit.cpp
+++ b/tests/platform/test_request_limit.cpp
@@ -223,6 +223,29 @@
   CHECK_COMPARE(std::atof(refused.header("retry-after").c_str()), >, 1);
 }
 
+// Nobody hears of it before the next call that the limit allows, 10 s apart.
+TEST(RequestLimit, OfZeroHoldsNoCallBackOnceAnAnswerHasLiftedIt) {
+  LimitedBackend limited("0");
+  addNodes(1);
+  list("i-1", limited.address());
+  start(1);
+  callAll(milliseconds(1'000));
+  limited.setLimit("");
+  const Clock::time_point lifted = Clock::now();
+  const auto isServed = [](const auto &node) {
+    return node->call("GET", "/read/x").Status == 200;
+  };
+  CHECK(within(10'500, [&] { return isServed(nodes.back()); }));
+  const Clock::time_point known = Clock::now();
+  for (const auto &it : nodes)
+    CHECK(within(200, [&] { return isServed(it); }));
+  fmt::print("served {} ms after the limit was lifted, by all nodes {} ms "
+             "later\n",
+             (known - lifted) / milliseconds(1),
+             (Clock::now() - known) / milliseconds(1));
+  LONGS_EQUAL(0, callAll(milliseconds(1'500), 503));
+}
+
 // The calls that the limits don't allow are refused at once, those that they
 // allow are made.
 TEST(RequestLimit, AllowedRateIsUsedWhenAllBackendServersAreLimited) {
