Keep one caller's condition from taking engines out of use

Cause: each 421 was read as "another backend server has the address", which marks the one that was meant as leaving at the cell, for the rest of its start. A 421 by the one that was meant is about one call.

Ruled out by reading: the list, health and the restart; the engines were listed, idle and ready. Now such a 421 ends the attempt as condition_not_met.

--- a/core/fleet/backend_directory.h
+++ b/core/fleet/backend_directory.h
@@ -2,6 +2,7 @@
 #define ORIOLETALLY_CORE_FLEET_BACKEND_DIRECTORY_H
 
 #include "core/engines/engine_load.h"
+#include "core/fleet/address_doubt.h"
 #include "core/fleet/backend_entry.h"
 #include "core/fleet/backend_health.h"
 #include "core/fleet/cell_plan.h"
@@ -22,6 +23,7 @@
 struct BackendServer {
   BackendEntry Entry;
   BackendHealth Health;
+  AddressDoubt Address;
   /// For engines, the load that all nodes have sent to it.
   engines::EngineLoad Load;
   /// Calls from this node in progress on it.
@@ -44,7 +46,8 @@
   absl::Time ExpiresAt = absl::InfiniteFuture();
 
   bool acceptsWork(absl::Time now) const {
-    return !Entry.Leaving && !ReportedLeaving && now < ExpiresAt;
+    return !Entry.Leaving && !ReportedLeaving && now < ExpiresAt &&
+           Address.acceptsCalls(now);
   }
 };
 
--- a/core/relay/attempt_policy.cpp
+++ b/core/relay/attempt_policy.cpp
@@ -7,10 +7,11 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 14> EndNames = {
-    "answered",    "failed",     "refused",   "wrong_backend", "not_sent",
-    "no_memory",   "broken",     "stalled",   "garbled",       "out_of_time",
-    "caller_gone", "superseded", "withdrawn", "too_large"};
+constexpr std::array<std::string_view, 15> EndNames = {
+    "answered",  "failed",      "refused",          "wrong_backend",
+    "not_sent",  "no_memory",   "broken",           "stalled",
+    "garbled",   "out_of_time", "caller_gone",      "superseded",
+    "withdrawn", "too_large",   "condition_not_met"};
 
 /// No attempt is retried with less time than this before the deadline: about
 /// one round trip between availability zones and the work of a short call.
@@ -45,6 +46,7 @@
   case AttemptEnd::NotSent:
   case AttemptEnd::NoMemory:
   case AttemptEnd::Withdrawn:
+  case AttemptEnd::ConditionNotMet:
     return false;
   default:
     return true;
@@ -70,6 +72,16 @@
   }
 }
 
+AttemptEnd wrongBackendEnd(const AnswerHead &answer, std::string_view expected,
+                           bool hasCondition) {
+  if (!answer.BackendId.empty())
+    return answer.BackendId == expected ? AttemptEnd::ConditionNotMet
+                                        : AttemptEnd::WrongBackend;
+  if (!answer.FaultyBackend.empty() && answer.FaultyBackend != expected)
+    return AttemptEnd::WrongBackend;
+  return hasCondition ? AttemptEnd::ConditionNotMet : AttemptEnd::WrongBackend;
+}
+
 NextStep nextStep(const routes::Route &route, const CallProgress &progress,
                   AttemptEnd end, absl::Time now) {
   const bool isOver = end == AttemptEnd::OutOfTime ||
--- a/core/relay/attempt_policy.h
+++ b/core/relay/attempt_policy.h
@@ -3,6 +3,7 @@
 
 #include "core/errors/request_error.h"
 #include "core/fleet/backend_health.h"
+#include "core/relay/call_head.h"
 #include "core/routes/routing_config.h"
 
 #include <absl/time/time.h>
@@ -46,6 +47,9 @@
   Withdrawn,
   /// The answer exceeded the memory that this node had left for it.
   TooLarge,
+  /// The backend server doesn't meet a condition that the caller set. Says
+  /// nothing about other calls.
+  ConditionNotMet,
 };
 
 /// Returns the name of \p end in logs and metrics.
@@ -62,6 +66,13 @@
 /// indicates nothing.
 std::optional<fleet::HealthSignal> healthSignal(AttemptEnd end);
 
+/// Returns how an attempt at the backend server \p expected ended that was
+/// answered with "wrong backend server": WrongBackend if another one answered,
+/// ConditionNotMet if the one that was meant did. \p hasCondition tells whether
+/// the caller set a condition that is answered in the same way.
+AttemptEnd wrongBackendEnd(const AnswerHead &answer, std::string_view expected,
+                           bool hasCondition);
+
 /// The state of a call's attempts so far.
 struct CallProgress {
   /// Number of backend servers that the call was sent to.
--- a/core/relay/call_head.h
+++ b/core/relay/call_head.h
@@ -41,6 +41,8 @@
   std::vector<std::string> PromptParts;
   /// Id of the last event that the caller received, when it resumes a stream.
   std::optional<int64_t> ResumeAfter;
+  /// Whether the caller accepts only backend servers that meet a condition.
+  bool HasCondition = false;
 };
 
 /// An engine that prefills a part of a prompt.
@@ -82,6 +84,8 @@
   std::string Signature;
   /// Whether the call was not executed and won't be.
   bool NotExecuted = false;
+  /// Id of the backend server that answered; empty if unspecified.
+  std::string BackendId;
   /// Id of another backend server that caused the failure; empty for none.
   std::string FaultyBackend;
   /// Whether the backend server accepts no new work.
--- a/core/relay/dispatcher.cpp
+++ b/core/relay/dispatcher.cpp
@@ -347,6 +347,7 @@
   dispatch.SentAt = now;
   ++dispatch.Server->InFlight;
   dispatch.Server->Health.recordSend(now);
+  dispatch.Server->Address.recordSend(now);
   dispatch.Server->Limit.recordSend(now);
   if (dispatch.Speed == nullptr) {
     if (dispatch.Server->Limit.isActive())
--- a/drivers/relay/attempt_runner.cpp
+++ b/drivers/relay/attempt_runner.cpp
@@ -125,7 +125,7 @@
   Context.Guard.recordEnd(Call.Head.AttemptId, promptAttempt(end, now),
                           Call.CrashSuspects);
   if (end == AttemptEnd::WrongBackend)
-    markLeaving("another backend server has the address");
+    doubtAddress(now);
   Context.Metrics.attemptEnded(core::relay::attemptEndName(end));
   Record.Backend = Target.Server->Entry.Id;
   Record.End = end;
@@ -300,6 +300,17 @@
     Context.AnnounceLeaving();
 }
 
+void AttemptRunner::doubtAddress(absl::Time now) {
+  if (!Target.Server->Address.begin(now))
+    return;
+  const core::fleet::BackendEntry &entry = Target.Server->Entry;
+  log::write(log::Level::Info, "backend_address_taken",
+             {{"id", Call.Head.AttemptId},
+              {"backend", entry.Id},
+              {"address", entry.Address},
+              {"row_version", entry.RowVersion}});
+}
+
 void AttemptRunner::applyServerState(const core::relay::AnswerHead &head,
                                      int status) {
   if (head.Leaving)
@@ -371,9 +382,15 @@
   const bool isRefusal = status == StatusWrongBackend || head.NotExecuted;
   if (isRefusal && head.AttemptId.empty() && Channel->Reused)
     return AttemptEnd::Garbled;
+  if (status == StatusWrongBackend) {
+    const AttemptEnd end = core::relay::wrongBackendEnd(
+        head, Target.Server->Entry.Id, Call.Head.HasCondition);
+    // What another backend server says of itself isn't about this one.
+    if (end == AttemptEnd::ConditionNotMet)
+      applyServerState(head, status);
+    return end;
+  }
   applyServerState(head, status);
-  if (status == StatusWrongBackend)
-    return AttemptEnd::WrongBackend;
   applyRequestLimit(head);
   if (head.NotExecuted) {
     if (!head.FaultyBackend.empty() &&
@@ -390,6 +407,8 @@
     return AttemptEnd::Failed;
   if (Call.Progress.Delivered && !canContinueStream(message))
     return AttemptEnd::Garbled;
+  if (!head.AttemptId.empty())
+    Target.Server->Address.end();
   return std::nullopt;
 }
 
--- a/drivers/relay/attempt_runner.h
+++ b/drivers/relay/attempt_runner.h
@@ -146,6 +146,8 @@
   /// limit; all its answers state it.
   void applyRequestLimit(const core::relay::AnswerHead &head);
   void markLeaving(std::string_view reason);
+  /// Records that another backend server has the address.
+  void doubtAddress(absl::Time now);
   asio::awaitable<core::relay::AttemptEnd> readPlain(AnswerParser &parser);
   asio::awaitable<core::relay::AttemptEnd> relayStream(AnswerParser &parser);
   /// Reads a stream and delivers its events until its body ends.
--- a/tests/core/test_attempt_policy.cpp
+++ b/tests/core/test_attempt_policy.cpp
@@ -64,6 +64,33 @@
         NextStep::ForwardAnswer);
 }
 
+// One caller's condition must not speak for the backend server as a whole.
+TEST(AttemptPolicy, ConditionOfACallerIsNotTakenForAnotherBackendServer) {
+  struct Case {
+    const char *BackendId;
+    const char *Faulty;
+    bool HasCondition;
+    AttemptEnd End;
+  };
+  for (const Case &it : {Case{"a", "", false, AttemptEnd::ConditionNotMet},
+                         Case{"a", "b", true, AttemptEnd::ConditionNotMet},
+                         Case{"b", "a", true, AttemptEnd::WrongBackend},
+                         Case{"", "b", true, AttemptEnd::WrongBackend},
+                         Case{"", "a", true, AttemptEnd::ConditionNotMet},
+                         Case{"", "a", false, AttemptEnd::WrongBackend},
+                         Case{"", "", true, AttemptEnd::ConditionNotMet},
+                         Case{"", "", false, AttemptEnd::WrongBackend}}) {
+    AnswerHead answer;
+    answer.BackendId = it.BackendId;
+    answer.FaultyBackend = it.Faulty;
+    CHECK(wrongBackendEnd(answer, "a", it.HasCondition) == it.End);
+  }
+  CHECK_FALSE(mayHaveRun(AttemptEnd::ConditionNotMet));
+  CHECK_FALSE(healthSignal(AttemptEnd::ConditionNotMet).has_value());
+  STRCMP_EQUAL("condition_not_met",
+               attemptEndName(AttemptEnd::ConditionNotMet).data());
+}
+
 // A truncated answer must not look complete to the caller.
 TEST(AttemptPolicy, AbortsAPartlyDeliveredAnswer) {
   progress.Delivered = true;
--- a/tests/platform/test_codecs.cpp
+++ b/tests/platform/test_codecs.cpp
@@ -412,6 +412,14 @@
   CHECK_FALSE(decode("Server-Left", "1").Leaving);
 }
 
+TEST(AnswerHeaders, ReadsWhoAnswered) {
+  STRCMP_EQUAL("i-1",
+               decode("x-orioletally-instance-id", " i-1 ").BackendId.c_str());
+  const core::relay::HeaderView line{"x-orioletally-expect-version", "1"};
+  CHECK(codec.decodeCall({&line, 1}).HasCondition);
+  CHECK_FALSE(codec.decodeCall({}).HasCondition);
+}
+
 TEST(AnswerHeaders, ReadsRetryAfterInSecondsOnly) {
   CHECK(decode("Retry-After", "3").PauseFor == absl::Seconds(3));
   CHECK(decode("retry-after", "0.25").PauseFor == absl::Milliseconds(250));
--- a/tests/platform/test_relay.cpp
+++ b/tests/platform/test_relay.cpp
@@ -991,6 +991,62 @@
   CHECK(wrong.attempts() <= 1);
 }
 
+// One caller's condition took all backend servers out of use on all nodes.
+TEST(Relay, ConditionOfOneCallTakesNoBackendServerOutOfUse) {
+  for (const std::string names :
+       {"X-Orioletally-Instance-Id: i-1\r\nAt-Server: i-1\r\n",
+        "X-Orioletally-Instance-Id: i-1\r\n", "At-Server: i-1\r\n", ""}) {
+    RelayFixture node;
+    RelayFixture other(node, "n2");
+    node.configure(1);
+    StandInBackend engine(
+        [&](const lab::RawRequest &request, const lab::RawConnection &out) {
+          if (request.header("x-orioletally-expect-version").empty())
+            return scripts::stream(1, 2, 1)(request, out);
+          return scripts::bytes("HTTP/1.1 421 X\r\n"
+                                "X-Orioletally-Attempt-Id: {id}\r\n" +
+                                    names + "Content-Length: 0\r\n\r\n",
+                                false)(request, out);
+        });
+    node.listBackend("i-1", "engine", engine.address());
+    CHECK(node.start(1));
+    CHECK(other.start(1));
+    for (int n = 0; n < 3; ++n) {
+      LONGS_EQUAL_TEXT(
+          503,
+          node.call("POST", "/ask/x", "X-Orioletally-Expect-Version: 1\r\n")
+              .Status,
+          names.c_str());
+      for (const RelayFixture *it : {&node, &other})
+        LONGS_EQUAL_TEXT(200, it->call("POST", "/ask/x").Status, names.c_str());
+    }
+  }
+}
+
+// A caller's condition must not hide that another backend server has the
+// address.
+TEST(Relay, ReassignedAddressIsNotUsedAgainWhateverTheCallAsksFor) {
+  for (const char *name : {"X-Orioletally-Instance-Id", "At-Server"}) {
+    RelayFixture node;
+    node.configure(1);
+    StandInBackend wrong(scripts::bytes(
+        fmt::format("HTTP/1.1 421 X\r\n{}: i-9\r\nContent-Length: 0\r\n\r\n",
+                    name),
+        false));
+    StandInBackend right(scripts::answer("right"));
+    node.listBackend("i-1", "plain", wrong.address());
+    node.listBackend("i-2", "plain", right.address());
+    CHECK(node.start(2));
+    for (int n = 0; n < 10; ++n)
+      STRCMP_EQUAL_TEXT("right",
+                        node.call("POST", "/write/x",
+                                  "X-Orioletally-Expect-Version: 1\r\n", "b")
+                            .Body.c_str(),
+                        name);
+    CHECK_TEXT(wrong.attempts() <= 1, name);
+  }
+}
+
 // The store may lose what it acknowledged when it comes back from a copy, and
 // give out the same versions again.
 TEST(Relay, FollowsAStoreThatCameBackFromACopy) {
