Write no body in answers to HEAD, with 204 and with 304

Cause: only the copy of a backend server's answer looked at the method. Now all answers of the node's own for calls drop the body of an answer to HEAD and keep its length, and answers without a body aren't forwarded as streams.

platform.Relay.AnswersWithoutBodyKeepAConnectionInStep and RejectedHeadRequestGetsNoBody failed before (the 404 and the 400 had a body) and pass; all 59 cases of platform.Relay passed. Not looked at: drivers/http and drivers/gateway, the metrics and readiness ports.

--- a/drivers/relay/attempt_runner.cpp
+++ b/drivers/relay/attempt_runner.cpp
@@ -363,7 +363,8 @@
       continue;
     if (const auto end = endByHead(parser.get()))
       co_return *end;
-    if (status / 100 == 2 && Call.Route->Kind == RouteKind::Streaming)
+    if (status / 100 == 2 && Call.Route->Kind == RouteKind::Streaming &&
+        !isBodiless(Call.Request.method(), status))
       co_return co_await relayStream(parser);
     co_return co_await readPlain(parser);
   }
@@ -444,9 +445,9 @@
   response.version(11);
   response.result(head.result_int());
   copyEndToEnd(head, response, [](std::string_view) { return false; });
-  if (Call.Request.method() == bhttp::verb::head) {
+  if (isBodiless(Call.Request.method(), static_cast<int>(head.result_int()))) {
     const auto length = head.find(bhttp::field::content_length);
-    if (length != head.end())
+    if (length != head.end() && head.result() != bhttp::status::no_content)
       response.set(bhttp::field::content_length, length->value());
   } else {
     response.body() = std::move(body);
--- a/drivers/relay/call_runner.cpp
+++ b/drivers/relay/call_runner.cpp
@@ -178,6 +178,7 @@
   LocalErrorRule = error.Rule;
   LocalRetryAfterMs = error.RetryAfterMs;
   BufferedAnswer = errorResponse(error, Call.Head.AttemptId, Context.Codec);
+  omitBodyForHead(*BufferedAnswer, Call.Request.method());
   Context.Metrics.localErrorSent(LocalErrorCode);
 }
 
--- a/drivers/relay/caller_session.cpp
+++ b/drivers/relay/caller_session.cpp
@@ -103,13 +103,14 @@
   }
   const std::string id =
       Context.Codec.decodeCall(headerViews(parser.get())).AttemptId;
-  co_await writeLast(errorResponse(
-      core::errors::RequestErrorBuilder(ErrorCode::Overloaded,
-                                        "this node has too many connections")
-          .rule("node.max_files")
-          .retryAfterMs(RefusalRetryAfterMs)
-          .build(),
-      id, Context.Codec));
+  co_await writeLast(errorResponse(core::errors::RequestErrorBuilder(
+                                       ErrorCode::Overloaded,
+                                       "this node has too many connections")
+                                       .rule("node.max_files")
+                                       .retryAfterMs(RefusalRetryAfterMs)
+                                       .build(),
+                                   id, Context.Codec),
+                     parser.get().method());
 }
 
 asio::awaitable<bool> CallerSession::serveOne() {
@@ -297,7 +298,8 @@
                           .rule("SIGTERM")
                           .retryAfterMs(DrainingRetryAfterMs)
                           .build(),
-                      id, Context.Codec));
+                      id, Context.Codec),
+        head.method());
     co_return;
   }
   const std::optional<bhttp::status> status = rejectionStatus(ec);
@@ -311,10 +313,12 @@
   PlainResponse response(*status, 11);
   response.body() = ec.message();
   response.prepare_payload();
-  co_await writeLast(std::move(response));
+  co_await writeLast(std::move(response), head.method());
 }
 
-asio::awaitable<void> CallerSession::writeLast(PlainResponse response) {
+asio::awaitable<void> CallerSession::writeLast(PlainResponse response,
+                                               bhttp::verb method) {
+  omitBodyForHead(response, method);
   response.set(bhttp::field::connection, "close");
   State.startAnswering();
   Stream.expires_after(toChrono(RejectWriteTimeout));
@@ -336,6 +340,7 @@
   const std::string code(core::errors::errorCodeName(error.Code));
   bhttp::response<bhttp::string_body> response =
       errorResponse(error, id, Context.Codec);
+  omitBodyForHead(response, head.method());
   log::write(log::Level::Info, "call_rejected",
              {{"id", id},
               {"status", static_cast<int>(response.result_int())},
--- a/drivers/relay/caller_session.h
+++ b/drivers/relay/caller_session.h
@@ -72,7 +72,7 @@
   asio::awaitable<void> reject(boost::system::error_code ec,
                                const loop::RequestMessage &head);
   /// Writes \p response and closes the connection.
-  asio::awaitable<void> writeLast(PlainResponse response);
+  asio::awaitable<void> writeLast(PlainResponse response, bhttp::verb method);
   /// Answers the call with the head \p head that there is no memory for it.
   asio::awaitable<void> refuseForMemory(const bhttp::request_header<> &head,
                                         size_t maxBodyBytes);
--- a/drivers/relay/message_parts.cpp
+++ b/drivers/relay/message_parts.cpp
@@ -15,6 +15,8 @@
 
 constexpr double MillisecondsPerSecond = 1000.0;
 constexpr int StatusBadGateway = 502;
+constexpr int StatusNoContent = 204;
+constexpr int StatusNotModified = 304;
 
 constexpr std::array<std::string_view, 10> HopByHopNames = {
     "Connection",       "Keep-Alive",
@@ -80,6 +82,17 @@
   return response;
 }
 
+void omitBodyForHead(bhttp::response<bhttp::string_body> &answer,
+                     bhttp::verb method) {
+  if (method == bhttp::verb::head)
+    answer.body().clear();
+}
+
+bool isBodiless(bhttp::verb method, int status) {
+  return method == bhttp::verb::head || status == StatusNoContent ||
+         status == StatusNotModified;
+}
+
 absl::Duration keepAliveTime(const bhttp::fields &answer) {
   constexpr std::string_view Key = "timeout=";
   const std::string_view value = view(answer[bhttp::field::keep_alive]);
--- a/tests/platform/test_relay.cpp
+++ b/tests/platform/test_relay.cpp
@@ -212,6 +212,78 @@
   LONGS_EQUAL(200, fixture.call("GET", "/none/x").Status);
 }
 
+// The body of an answer to HEAD put all later answers on the connection out of
+// step.
+TEST(Relay, AnswersWithoutBodyKeepAConnectionInStep) {
+  const std::string signedHead = "X-Orioletally-Attempt-Id: {id}\r\n"
+                                 "X-Orioletally-Response-Signature: s\r\n";
+  StandInBackend backend([&](const lab::RawRequest &request,
+                             const lab::RawConnection &out) {
+    const std::string status = request.header("x-status");
+    if (status.empty())
+      return scripts::answer("next")(request, out);
+    const std::string length = status == "204" ? "" : "Content-Length: 2\r\n";
+    return scripts::bytes(
+        fmt::format("HTTP/1.1 {} X\r\n{}{}\r\n", status, signedHead, length),
+        false)(request, out);
+  });
+  fixture.listBackend("i-1", "plain", backend.address());
+  fixture.listBackend("i-2", "engine", backend.address());
+  CHECK(fixture.start(2));
+  struct Case {
+    const char *Line;
+    const char *Headers;
+    int Status;
+  };
+  const std::string key = "Authorization: Token key-n\r\n";
+  for (const auto &[line, headers, status] :
+       {Case{"HEAD /none/x", "", 404},
+        Case{"HEAD /read/x", "x-status: 200", 200},
+        Case{"HEAD /read/x", "x-status: 500", 500},
+        Case{"HEAD /ask/x", "x-status: 200", 200},
+        Case{"HEAD /ask/x", "x-status: 503\r\nX-A: b", 502},
+        Case{"GET /read/x", "x-status: 204", 204},
+        Case{"GET /read/x", "x-status: 304", 304},
+        Case{"GET /ask/x", "x-status: 204", 204},
+        Case{"GET /ask/x", "x-status: 304", 304}}) {
+    const auto connection = lab::connectTo(fixture.CallsAddress);
+    CHECK(connection != nullptr);
+    connection->write(fmt::format(
+        "{} HTTP/1.1\r\nHost: a.example\r\n{}{}"
+        "X-Orioletally-Attempt-Id: a-{}\r\n{}\r\n"
+        "GET /read/x HTTP/1.1\r\nHost: a.example\r\n{}"
+        "X-Orioletally-Attempt-Id: b-{}\r\nConnection: close\r\n\r\n",
+        line, headers, *headers == 0 ? "" : "\r\n", line + 5, key, key,
+        line + 5));
+    std::string received;
+    for (std::string next = connection->receive(5'000); !next.empty();
+         next = connection->receive(5'000))
+      received += next;
+    const std::string label = fmt::format("{} {}: {}", line, headers, received);
+    CHECK_TEXT(received.starts_with(fmt::format("HTTP/1.1 {}", status)),
+               label.c_str());
+    const size_t end = received.find("\r\n\r\n");
+    CHECK_TEXT(end != std::string::npos, label.c_str());
+    CHECK_TEXT(received.substr(end + 4).starts_with("HTTP/1.1 200"),
+               label.c_str());
+    CHECK_TEXT(received.ends_with("\r\n\r\nnext"), label.c_str());
+  }
+}
+
+TEST(Relay, RejectedHeadRequestGetsNoBody) {
+  StandInBackend backend(scripts::answer("x"));
+  fixture.listBackend("i-1", "plain", backend.address());
+  CHECK(fixture.start(1));
+  for (const std::string &headers :
+       {std::string("Host: a.example\r\nHost: b.example\r\n"),
+        std::string("Host: a.example\r\nContent-Length: 99999\r\n")}) {
+    const CallerAnswer answer =
+        fixture.sendRaw("HEAD /read/x HTTP/1.1\r\n" + headers + "\r\n");
+    CHECK_TEXT(answer.Status / 100 == 4, headers.c_str());
+    STRCMP_EQUAL_TEXT("", answer.Body.c_str(), headers.c_str());
+  }
+}
+
 TEST(Relay, NodeWithoutConfigurationAnswers503WithRetryAfter) {
   fixture.Store.setFault(lab::StoreFault::Refuse);
   CHECK_FALSE(fixture.start(0));
