--- a/drivers/relay/message_parts.h
+++ b/drivers/relay/message_parts.h
@@ -44,7 +44,6 @@
 /// wasn't executed is replaced by 502 unless that is certain.
 int answerStatus(const core::errors::RequestError &error);
 
-/// Builds this node's own error answer for the caller's attempt \p attemptId.
 /// Removes the body of \p answer, but not its length, if it answers a HEAD
 /// request: a body would be taken for the next answer on the connection.
 void omitBodyForHead(bhttp::response<bhttp::string_body> &answer,
@@ -53,6 +52,7 @@
 /// Whether an answer with \p status to a request with \p method has no body.
 bool isBodiless(bhttp::verb method, int status);
 
+/// Builds this node's own error answer for the caller's attempt \p attemptId.
 bhttp::response<bhttp::string_body>
 errorResponse(const core::errors::RequestError &error,
               std::string_view attemptId, const core::relay::CallCodec &codec);
