Keep leaving backend servers out of use when the store is back from a copy

Cause: the word was kept with the entry, went with it, and was dropped where the answer came after the entry had gone. Now leaving belongs to a start (id and born), is final for it and is remembered for ten minutes after its entry is gone.

--- a/core/fleet/backend_directory.cpp
+++ b/core/fleet/backend_directory.cpp
@@ -19,6 +19,10 @@
 /// lost.
 constexpr absl::Duration LiftedLimitMemory = absl::Seconds(10);
 
+/// How long a start of a backend server is remembered that was leaving. A copy
+/// of the store is some seconds old, and none goes on serving for longer.
+constexpr absl::Duration DepartedMemory = absl::Minutes(10);
+
 constexpr std::array<std::string_view, 6> ChangeNames = {
     "none", "added", "changed", "restarted", "leaving", "gone"};
 
@@ -40,9 +44,12 @@
                                                     absl::Time now) {
   const auto found = Servers.find(entry.Id);
   if (found == Servers.end() || now >= found->second->ExpiresAt) {
+    if (found != Servers.end())
+      rememberIfLeaving(*found->second, now);
     auto added = std::make_shared<BackendServer>();
-    const bool isLeaving = entry.Leaving;
+    added->ReportedLeaving = isDeparted(entry);
     added->Entry = std::move(entry);
+    const bool isLeaving = added->isLeaving();
     Servers.insert_or_assign(added->Entry.Id, added);
     IsIndexStale = true;
     return isLeaving ? DirectoryChange::Leaving : DirectoryChange::Added;
@@ -63,6 +70,9 @@
     IsIndexStale = true;
     return DirectoryChange::Restarted;
   }
+  // Without the time of its start, it may have started again.
+  known.ReportedLeaving = known.ReportedLeaving ||
+                          (known.Entry.Leaving && known.Entry.StartedAtMs != 0);
   known.Entry = std::move(entry);
   IsIndexStale = IsIndexStale || isNewlyLeaving;
   return isNewlyLeaving ? DirectoryChange::Leaving : DirectoryChange::Changed;
@@ -113,11 +123,32 @@
   found->second->ExpiresAt = expiresAt;
   if (expiresAt > now)
     return DirectoryChange::Changed;
+  rememberIfLeaving(*found->second, now);
   Servers.erase(found);
   IsIndexStale = true;
   return DirectoryChange::Gone;
 }
 
+void BackendDirectory::rememberIfLeaving(const BackendServer &server,
+                                         absl::Time now) {
+  if (server.isLeaving())
+    remember(server.Entry, now);
+}
+
+void BackendDirectory::remember(const BackendEntry &entry, absl::Time now) {
+  std::erase_if(Departed, [now](const auto &it) {
+    return now >= it.second.GoneAt + DepartedMemory;
+  });
+  if (entry.StartedAtMs != 0)
+    Departed.insert_or_assign(entry.Id, DepartedStart{entry.StartedAtMs, now});
+}
+
+bool BackendDirectory::isDeparted(const BackendEntry &entry) const {
+  const auto found = Departed.find(entry.Id);
+  return found != Departed.end() &&
+         found->second.StartedAtMs == entry.StartedAtMs;
+}
+
 void BackendDirectory::setNodes(std::string self,
                                 std::vector<NodePlace> nodes) {
   Self = std::move(self);
@@ -156,11 +187,21 @@
 
 bool BackendDirectory::markLeaving(std::string_view id) {
   const auto found = Servers.find(id);
-  if (found == Servers.end() || found->second->ReportedLeaving ||
-      found->second->Entry.Leaving)
+  if (found == Servers.end())
     return false;
+  const bool isNew = !found->second->isLeaving();
   found->second->ReportedLeaving = true;
-  return true;
+  return isNew;
+}
+
+bool BackendDirectory::markLeaving(const BackendEntry &entry, absl::Time now) {
+  const auto found = Servers.find(entry.Id);
+  if (found != Servers.end() &&
+      found->second->Entry.StartedAtMs == entry.StartedAtMs)
+    return markLeaving(entry.Id);
+  if (found == Servers.end())
+    remember(entry, now);
+  return false;
 }
 
 std::shared_ptr<BackendServer>
@@ -217,7 +258,7 @@
 std::vector<std::string> BackendDirectory::leaving() const {
   std::vector<std::string> result;
   for (const auto &[id, server] : Servers)
-    if (server->Entry.Leaving || server->ReportedLeaving)
+    if (server->isLeaving())
       result.push_back(id);
   return result;
 }
--- a/core/fleet/backend_directory.h
+++ b/core/fleet/backend_directory.h
@@ -45,6 +45,9 @@
   /// infinite for all others.
   absl::Time ExpiresAt = absl::InfiniteFuture();
 
+  /// Whether this start of it was ever said to accept no new work.
+  bool isLeaving() const { return Entry.Leaving || ReportedLeaving; }
+
   bool acceptsWork(absl::Time now) const {
     return !Entry.Leaving && !ReportedLeaving && now < ExpiresAt &&
            Address.acceptsCalls(now);
@@ -125,6 +128,10 @@
   /// unknown.
   bool markLeaving(std::string_view id);
 
+  /// The same for the start of a backend server that \p entry describes, whose
+  /// entry may be gone or replaced already.
+  bool markLeaving(const BackendEntry &entry, absl::Time now);
+
   /// Applies what another node read in an answer. Returns the backend server if
   /// that changed its limit, null otherwise.
   std::shared_ptr<BackendServer> applyLimit(const BackendLimit &limit,
@@ -167,6 +174,19 @@
   // These leave it to the caller to rebuild the index once, after all changes.
   DirectoryChange putWithoutRebuild(BackendEntry entry, absl::Time now);
   DirectoryChange removeWithoutRebuild(std::string_view id, absl::Time now);
+  /// A start of a backend server that was leaving when its entry disappeared.
+  struct DepartedStart {
+    int64_t StartedAtMs = 0;
+    absl::Time GoneAt;
+  };
+
+  /// Remembers that \p server was leaving, if it was, before it is dropped.
+  void rememberIfLeaving(const BackendServer &server, absl::Time now);
+  void remember(const BackendEntry &entry, absl::Time now);
+  /// Whether \p entry is of a start that was leaving: the store came back from
+  /// an older copy.
+  bool isDeparted(const BackendEntry &entry) const;
+
   DirectoryChange removeAt(ServerMap::iterator found, absl::Time expiresAt,
                            absl::Time now);
   void rebuildIndexIfStale();
@@ -176,6 +196,7 @@
 
   /// Ordered by id, so that all nodes compute the same order.
   ServerMap Servers;
+  std::map<std::string, DepartedStart, std::less<>> Departed;
   absl::flat_hash_map<uint64_t, std::shared_ptr<BackendServer>> ByHash;
   std::map<std::string, std::vector<std::shared_ptr<BackendServer>>,
            std::less<>>
--- a/drivers/relay/attempt_runner.cpp
+++ b/drivers/relay/attempt_runner.cpp
@@ -289,7 +289,7 @@
 
 void AttemptRunner::markLeaving(std::string_view reason) {
   const core::fleet::BackendEntry &entry = Target.Server->Entry;
-  if (!Context.Dispatcher.directory().markLeaving(entry.Id))
+  if (!Context.Dispatcher.directory().markLeaving(entry, clock::steadyNow()))
     return;
   log::write(log::Level::Info, "backend_leaving_by_answer",
              {{"id", Call.Head.AttemptId},
--- a/tests/core/test_backend_directory.cpp
+++ b/tests/core/test_backend_directory.cpp
@@ -139,6 +139,51 @@
   LONGS_EQUAL(0, usableCount(at(0)));
 }
 
+// The store came back from a copy, and a leaving backend server got calls.
+TEST(BackendDirectory, CopyOfTheListRevivesNoBackendServerThatSaidItLeaves) {
+  directory.put(entry("a", 1, false, 7), at(0));
+  CHECK(directory.markLeaving("a"));
+  directory.remove("a", at(1'000));
+  directory.put(entry("a", 9, false, 7), at(4'000));
+  LONGS_EQUAL(0, usableCount(at(4'000)));
+  LONGS_EQUAL(1, directory.leaving().size());
+  directory.put(entry("a", 10, false, 8), at(5'000));
+  LONGS_EQUAL(1, usableCount(at(5'000)));
+}
+
+// Its last answers arrive after its entry is gone.
+TEST(BackendDirectory, RemembersWhoSaidItLeavesAfterItsEntryWasGone) {
+  directory.put(entry("a", 1, false, 7), at(0));
+  directory.remove("a", at(1'000));
+  CHECK_FALSE(directory.markLeaving(entry("a", 1, false, 7), at(1'100)));
+  directory.put(entry("a", 9, false, 7), at(4'000));
+  LONGS_EQUAL(0, usableCount(at(4'000)));
+  directory.put(entry("a", 10, false, 8), at(5'000));
+  CHECK_FALSE(directory.markLeaving(entry("a", 1, false, 7), at(5'100)));
+  LONGS_EQUAL(1, usableCount(at(5'100)));
+}
+
+TEST(BackendDirectory, CopyOfTheListRevivesNoDrainingBackendServer) {
+  for (const bool isRemoved : {false, true}) {
+    BackendDirectory listed;
+    listed.put(entry("a", 1, false, 7), at(0));
+    listed.put(entry("a", 2, true, 7), at(100));
+    if (isRemoved)
+      listed.remove("a", at(1'000));
+    listed.replace({entry("a", 9, false, 7), entry("b", 9)}, at(4'000));
+    LONGS_EQUAL(1, listed.usable("s", at(4'000)).size());
+    listed.put(entry("a", 10, false, 8), at(5'000));
+    LONGS_EQUAL(2, listed.usable("s", at(5'000)).size());
+  }
+}
+
+TEST(BackendDirectory, EntryThatOnlyExpiredIsUsedAgain) {
+  directory.put(entry("a", 1, false, 7), at(0));
+  directory.remove("a", at(1'000));
+  directory.put(entry("a", 9, false, 7), at(4'000));
+  LONGS_EQUAL(1, usableCount(at(4'000)));
+}
+
 TEST(BackendDirectory, OrderPositionIsIndependentOfInsertionOrder) {
   BackendDirectory other;
   for (const char *id : {"a", "b", "c", "d"})
