Keep accept() from blocking the loop after an aborted connection

Seen by a reviewer, by reading: a connection that its peer aborts while it waits to be accepted may make accept() return ECONNABORTED, after which Asio waits for the next connection without a time limit, whatever the socket's non-blocking flag. The event loop would stand still until then, in a stopping node for good.

Cause: the listener accepts synchronously since its connections are taken in the turn in which it goes on. Fix: Asio reports aborted connections, and the listener goes on with the next one.

Not shown by a test: the kernel of this machine accepts such connections.

--- a/drivers/loop/listener.cpp
+++ b/drivers/loop/listener.cpp
@@ -38,6 +38,9 @@
     acceptor.listen(Backlog, ec);
   if (!ec)
     acceptor.non_blocking(true, ec);
+  // Without this, accept() blocks after a connection that its peer aborted.
+  if (!ec)
+    acceptor.set_option(asio::socket_base::enable_connection_aborted(true), ec);
   if (ec)
     return leaf::new_error(ListenError{address, ec.message()});
   return listener;
@@ -72,6 +75,8 @@
     Acceptor.accept(socket, ec);
     if (ec == asio::error::would_block || ec == asio::error::try_again)
       return {};
+    if (ec == asio::error::connection_aborted)
+      continue;
     if (ec)
       return ec;
     Handler(std::move(socket));
