Take no refresh while an answer is decoded for a failure of the store

What nodes believed: a refresh while a large answer of the store was decoded closed the connection between two calls; the next call failed on it, and the store counted as lost (the start gate opens, the list as unavailable).

Cause: HttpClient::close() leaves a closed stream behind.

LoopTurns RefreshWhileAnAnswerIsDecodedIsNoFailureOfTheStore: one failed call without the change, none with it.

--- a/drivers/loop/http_client.cpp
+++ b/drivers/loop/http_client.cpp
@@ -67,6 +67,9 @@
 
 asio::awaitable<HttpCallResult> HttpClient::call(HttpCall httpCall) {
   HttpCallResult result;
+  // close() may have come between two calls.
+  if (Stream != nullptr && !Stream->socket().is_open())
+    Stream.reset();
   if (Stream == nullptr) {
     result.Failure = co_await connect(httpCall.Timeout);
     if (!result.Failure.empty())
--- a/tests/platform/test_loop_turns.cpp
+++ b/tests/platform/test_loop_turns.cpp
@@ -79,7 +79,9 @@
   }
   bool peerKeyRead(const std::string &) override { return true; }
   void nodeUnregistered(const core::platform::NodeEntry &, bool) override {}
-  void storeCallFailed(FleetTopic, const std::string &) override {}
+  void storeCallFailed(FleetTopic, const std::string &) override {
+    ++FailedCalls;
+  }
   void storeCallAnswered(FleetTopic) override {}
   void rowRejected(FleetTopic, const std::string &key,
                    const std::string &) override {
@@ -95,6 +97,7 @@
   size_t QuarantinedParts = 0;
   size_t Nodes = 0;
   int Snapshots = 0;
+  int FailedCalls = 0;
 };
 
 platform::StoreSourceSettings settingsFor(const std::string &address) {
@@ -283,6 +286,18 @@
   CHECK_FALSE(run.Source.isReadingConfig());
 }
 
+TEST(LoopTurns, RefreshWhileAnAnswerIsDecodedIsNoFailureOfTheStore) {
+  SourceRun run;
+  run.Source.start(run.Listener);
+  run.takeOver(configText(1, 10, 1, 1), 1);
+  run.Store.put(std::string(wire::ConfigTable), std::string(wire::ConfigKey),
+                configText(2, 10'000, 1, 1));
+  run.runUntil([&] { return run.Source.isReadingConfig(); });
+  run.Source.refresh(FleetTopic::Config);
+  run.takeOver(configText(3, 10, 1, 1), 3);
+  LONGS_EQUAL(0, run.Listener.FailedCalls);
+}
+
 TEST(LoopTurns, StopDoesNotWaitForAConfigurationToBeRead) {
   const std::string text = configText(1, 10'000, 1, 1);
   auto run = std::make_unique<SourceRun>();
