Let the memory that is filled first decide whether a prompt has begun

What callers would see: a prompt that has begun loses memory that it is about to use, and its answer is cut.

Cause: the later reservations of a prompt are filled after the first, so "held" there says nothing. All memory was released on it when the report about the first was late or unreadable.

Now only the first reservation is asked about, an answer that has arrived and wasn't read yet counts as begun, and an unknown use keeps the memory.

--- a/drivers/relay/attempt_runner.cpp
+++ b/drivers/relay/attempt_runner.cpp
@@ -171,9 +171,13 @@
     if (isStopped()) {
       co_return false;
     }
+    // Memory is filled in turn: while the first is unused, all of it is.
+    std::function<void()> onUnused;
+    if (Leases.empty())
+      onUnused = [this] { memoryUnused(); };
     auto lease = std::make_shared<MemoryLease>(
         Context.Loop, Context.Codec, Target.Helpers[n]->Entry.Address,
-        reservationName(n), Target.Reserved[n], [this] { memoryUnused(); });
+        reservationName(n), Target.Reserved[n], std::move(onUnused));
     Leases.push_back(lease);
     const bool isAcquired = co_await lease->acquire();
     if (!isAcquired || isStopped())
@@ -183,12 +187,8 @@
 }
 
 void AttemptRunner::memoryUnused() {
-  // The memory of a prompt that has begun is filled in turn.
-  const bool hasBegun =
-      Target.FirstTokenAt.has_value() ||
-      std::any_of(Leases.begin(), Leases.end(),
-                  [](const auto &it) { return it->isUsed(); });
-  if (hasBegun || isStopped())
+  // The first token may have arrived and not been read yet.
+  if (Target.FirstTokenAt.has_value() || hasUnreadBytes() || isStopped())
     return;
   log::write(log::Level::Info, "memory_unused",
              {{"id", Call.Head.AttemptId},
@@ -582,6 +582,11 @@
   }
 }
 
+bool AttemptRunner::hasUnreadBytes() const {
+  boost::system::error_code ignored;
+  return Channel != nullptr && Channel->Socket.available(ignored) > 0;
+}
+
 void AttemptRunner::onSilence(absl::Time now) {
   const absl::Duration silent = now - SilentSince;
   if (!core::relay::isConnectionLost(silent, SilenceTimeout,
--- a/drivers/relay/attempt_runner.h
+++ b/drivers/relay/attempt_runner.h
@@ -129,6 +129,8 @@
   std::string reservationName(size_t n) const;
   /// An engine says that no prompt uses the memory that is reserved there.
   void memoryUnused();
+  /// Whether bytes of the answer have arrived that weren't read yet.
+  bool hasUnreadBytes() const;
   /// Sets Channel to a connection to the backend server, reused or new; returns
   /// false if there is none or the attempt was stopped.
   asio::awaitable<bool> openChannel();
--- a/drivers/relay/memory_lease.h
+++ b/drivers/relay/memory_lease.h
@@ -33,9 +33,6 @@
   /// Releases the memory, also when it is unknown whether it was reserved.
   void release();
 
-  /// Whether the engine has said that a prompt uses the memory.
-  bool isUsed() const { return Use == core::relay::ReservationUse::Used; }
-
 private:
   /// Returns the status of the answer; 0 without one.
   asio::awaitable<int> sendCommand(core::relay::BackendCommand command);
--- a/tests/platform/test_memory_lease.cpp
+++ b/tests/platform/test_memory_lease.cpp
@@ -70,3 +70,24 @@
     CHECK(within(500, [&] { return engine.left() == 0; }));
   }
 }
+
+// The reservations of a prompt are filled in turn: the later ones are unused
+// while it is read.
+TEST(MemoryLease, LaterMemoryThatIsUnusedDoesNotEndAPromptOfUnknownUse) {
+  ReservingEngine engine(
+      [](const lab::RawRequest &request, const lab::RawConnection &out) {
+        if (out.closesWithin(10'000))
+          return false;
+        return scripts::stream(1, 3, 1)(request, out);
+      });
+  engine.setFirstState("unreadable");
+  start(engine);
+  const CallerAnswer answer =
+      node.call("POST", "/once/x",
+                "X-Orioletally-Token-Counts: 110000,100\r\n"
+                "X-Orioletally-Deadline-Ms: 14000\r\n",
+                "b");
+  CHECK(engine.made() > 1);
+  LONGS_EQUAL(200, answer.Status);
+  CHECK_COMPARE(engine.longest().count(), >, MaxUnused.count());
+}
--- a/tests/support/reserving_engine.cpp
+++ b/tests/support/reserving_engine.cpp
@@ -21,6 +21,11 @@
   State = std::move(state);
 }
 
+void ReservingEngine::setFirstState(std::string state) {
+  const std::lock_guard lock(Guard);
+  FirstState = std::move(state);
+}
+
 int ReservingEngine::made() const {
   const std::lock_guard lock(Guard);
   return static_cast<int>(Reservations.size());
@@ -81,7 +86,10 @@
   for (const auto &[id, it] : Reservations)
     if (!it.IsReleased)
       tickets.push_back(
-          {{"id", id}, {"tokens", 1}, {"state", State}, {"age_ms", 1}});
+          {{"id", id},
+           {"tokens", 1},
+           {"state", id.ends_with("-0") ? FirstState.value_or(State) : State},
+           {"age_ms", 1}});
   return json{{"stage", "colocated"}, {"tickets", tickets}}.dump();
 }
 
--- a/tests/support/reserving_engine.h
+++ b/tests/support/reserving_engine.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 
 namespace orioletally::tests {
@@ -21,6 +22,8 @@
 
   /// What reports say about the reservations that there are; "" for no report.
   void setState(std::string state);
+  /// What reports say about the first reservation of each prompt instead.
+  void setFirstState(std::string state);
 
   /// Number of reservations that were made, and of those that are left.
   int made() const;
@@ -43,6 +46,7 @@
 
   mutable std::mutex Guard;
   std::string State = "held";
+  std::optional<std::string> FirstState;
   std::map<std::string, Reservation> Reservations;
   StandInBackend Server;
 };
