Doubt no backend server for the node's own standstill

Cause: after a standstill, timers that are due run before the coroutines whose bytes are on the socket, or were taken off it and wait for their turn.

In time, nothing changes.

--- a/drivers/relay/attempt_runner.cpp
+++ b/drivers/relay/attempt_runner.cpp
@@ -31,6 +31,9 @@
 /// A caller that doesn't accept a part of its answer within this time counts
 /// as disconnected.
 constexpr absl::Duration CallerWriteTimeout = absl::Seconds(5);
+/// Time to read bytes that have arrived before a backend server counts as
+/// silent.
+constexpr absl::Duration UnreadBytesTime = absl::Milliseconds(20);
 constexpr uint32_t MaxAnswerHeaderBytes = 64 << 10;
 /// Interim answers (1xx) accepted before the final one; servers send one or
 /// two.
@@ -561,6 +564,7 @@
 
 void AttemptRunner::setSilenceTimeout(absl::Duration timeout) {
   SilenceTimeout = timeout;
+  IsRechecked = false;
   Timer.setEnd(SilentSince + timeout);
 }
 
@@ -588,6 +592,13 @@
 }
 
 void AttemptRunner::onSilence(absl::Time now) {
+  // After a standstill of this node, timers may run before what has arrived
+  // meanwhile is read or taken.
+  const bool isLate = now - SilentSince - SilenceTimeout >= UnreadBytesTime;
+  if (hasUnreadBytes() || (isLate && !std::exchange(IsRechecked, true))) {
+    Timer.setEnd(now + UnreadBytesTime);
+    return;
+  }
   const absl::Duration silent = now - SilentSince;
   if (!core::relay::isConnectionLost(silent, SilenceTimeout,
                                      now - Target.Server->LastReceivedAt)) {
--- a/drivers/relay/attempt_runner.h
+++ b/drivers/relay/attempt_runner.h
@@ -195,6 +195,8 @@
   /// Set when the attempt is ended early.
   std::optional<core::relay::AttemptEnd> Stopped;
   bool IsDoubted = false;
+  /// Whether what had arrived by the end of a silence had time to be read.
+  bool IsRechecked = false;
   /// Whether its memory was released before the prompt began.
   bool IsMemoryLost = false;
   /// Whether the answer has shown that the prompt's parts are sound.
