End a test's earlier process when it starts another

Cause: after the first process of a fixture had ended, a second one that was started in its place counted as ended, too, and was left running by the test: three nodes for each run of platform.CallQuarantine and two others.

--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -32,15 +32,18 @@
   return ::mkdtemp(pattern.data()) == nullptr ? std::string() : pattern;
 }
 
+void killAndWait(pid_t pid) {
+  ::kill(pid, SIGKILL);
+  ::waitpid(pid, nullptr, 0);
+}
+
 } // namespace
 
 ChildProcess::ChildProcess() : Folder(makeFolder()) {}
 
 ChildProcess::~ChildProcess() {
-  if (Pid > 0 && !Ended) {
-    ::kill(Pid, SIGKILL);
-    ::waitpid(Pid, nullptr, 0);
-  }
+  if (Pid > 0 && !Ended)
+    killAndWait(Pid);
   std::filesystem::remove_all(Folder);
 }
 
@@ -52,6 +55,9 @@
 }
 
 void ChildProcess::start(const std::vector<std::string> &arguments) {
+  if (Pid > 0 && !Ended)
+    killAndWait(Pid);
+  Ended = false;
   const std::string logFile = Folder + "/process.log";
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
