--- a/review/standins-2/stage.cpp
+++ b/review/standins-2/stage.cpp
@@ -12,8 +12,8 @@
 #include <netinet/tcp.h>
 #include <nlohmann/json.hpp>
 #include <poll.h>
-#include <spawn.h>
 #include <sstream>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -148,11 +148,6 @@
                       << "\"\n[placement]\nacross_cells = true\n[retries]\n"
                          "share = 0.2\nslack = 104\nwindow_s = 10\n";
   const std::string logFile = Folder + "/log";
-  posix_spawn_file_actions_t actions;
-  posix_spawn_file_actions_init(&actions);
-  posix_spawn_file_actions_addopen(&actions, 1, logFile.c_str(),
-                                   O_WRONLY | O_CREAT | O_APPEND, 0600);
-  posix_spawn_file_actions_adddup2(&actions, 1, 2);
   std::vector<std::string> variables = {"ORIOLETALLY_SETTINGS=" + path};
   for (char **it = environ; *it != nullptr; ++it)
     variables.emplace_back(*it);
@@ -163,10 +158,22 @@
   std::string program = Program;
   std::string role = "entry";
   char *argv[] = {program.data(), role.data(), nullptr};
-  const int ec =
-      posix_spawn(&Pid, Program, &actions, nullptr, argv, environment.data());
-  posix_spawn_file_actions_destroy(&actions);
-  if (ec != 0)
+  const int out =
+      ::open(logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+  const pid_t self = ::getpid();
+  Pid = ::fork();
+  if (Pid == 0) {
+    // Ends with the script, also if that is killed.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (::getppid() != self)
+      ::_exit(NotRun);
+    ::dup2(out, STDOUT_FILENO);
+    ::dup2(out, STDERR_FILENO);
+    ::execve(Program, argv, environment.data());
+    ::_exit(NotRun);
+  }
+  ::close(out);
+  if (Pid < 0)
     return false;
   HasEnded = false;
   for (int n = 0; n < 300 && !isReady(); ++n)
