--- a/drivers/http/http_exchange.cpp
+++ b/drivers/http/http_exchange.cpp
@@ -1,11 +1,11 @@
 #include "drivers/http/http_exchange.h"
 
+#include "drivers/loop/answer_reader.h"
 #include "drivers/loop/endpoint.h"
 #include "drivers/loop/event_loop.h"
 #include "drivers/loop/read_buffer.h"
 
 #include <boost/asio/post.hpp>
-#include <limits>
 #include <mutex>
 #include <utility>
 
@@ -13,6 +13,7 @@
 
 /// Limit on a head, a chunk header or trailers.
 static constexpr size_t MaxBufferBytes = 64 << 10;
+static constexpr uint32_t MaxHeadBytes = 8 << 10;
 
 using loop::AsTuple;
 
@@ -130,21 +131,18 @@
 
   asio::awaitable<std::string> receive(ExchangeResult &result) {
     loop::ReadBuffer buffer(MaxBufferBytes);
-    bhttp::response_parser<bhttp::string_body> parser;
-    parser.body_limit(std::numeric_limits<uint64_t>::max());
-    const auto [headError, headBytes] =
-        co_await bhttp::async_read_header(Stream, buffer, parser, AsTuple);
-    if (headError) {
-      co_return "read: " + headError.message();
+    loop::AnswerReader<bhttp::string_body> reader(MaxHeadBytes, std::nullopt);
+    boost::system::error_code ec = co_await reader.readHead(Stream, buffer);
+    if (ec) {
+      co_return "read: " + ec.message();
     }
-    result.Status = static_cast<int>(parser.get().result_int());
-    result.Headers = toHeaderMap(parser.get());
+    result.Status = static_cast<int>(reader.answer().result_int());
+    result.Headers = toHeaderMap(reader.answer());
     // Reads from the socket itself: the owner limits the time, so the timers of
     // the tcp_stream would only cost time.
-    while (!parser.is_done()) {
-      const auto [ec, n] = co_await bhttp::async_read_some(
-          Stream.socket(), buffer, parser, AsTuple);
-      deliver(result.Status, parser.get().body());
+    while (!reader.isDone()) {
+      ec = co_await reader.readSome(Stream.socket(), buffer);
+      deliver(result.Status, reader.answer().body());
       if (ec) {
         co_return "read: " + ec.message();
       }
--- a/drivers/loop/http_client.cpp
+++ b/drivers/loop/http_client.cpp
@@ -1,5 +1,6 @@
 #include "drivers/loop/http_client.h"
 
+#include "drivers/loop/answer_reader.h"
 #include "drivers/loop/asio_use.h"
 #include "drivers/loop/endpoint.h"
 
@@ -11,6 +12,8 @@
 
 namespace {
 
+constexpr uint32_t MaxHeadBytes = 8 << 10;
+
 void copyHeaders(const bhttp::response_header<> &head, HttpCallResult &result) {
   for (const auto &it : head)
     result.Headers.emplace_back(it.name_string(), it.value());
@@ -93,27 +96,28 @@
     result.Failure = "write: " + writeError.message();
     co_return result;
   }
-  bhttp::response_parser<bhttp::string_body> parser;
-  parser.body_limit(httpCall.MaxAnswerBytes);
+  AnswerReader<bhttp::string_body> reader(MaxHeadBytes,
+                                          httpCall.MaxAnswerBytes);
   core::limits::MemoryGrant memory;
   if (Memory != nullptr)
     memory = core::limits::MemoryGrant(*Memory,
                                        core::limits::MemoryUse::StoreAnswer);
-  while (!parser.is_done()) {
-    const auto [ec, read] =
-        co_await bhttp::async_read_some(*Stream, Buffer, parser, AsTuple);
-    Received += read;
-    if (ec) {
-      Stream.reset();
-      result.Failure = "read: " + ec.message();
-      co_return result;
-    }
-    memory.require(parser.get().body().size() + Buffer.capacity());
+  boost::system::error_code readError =
+      co_await reader.readHead(*Stream, Buffer);
+  while (!readError && !reader.isDone()) {
+    readError = co_await reader.readSome(*Stream, Buffer);
+    memory.require(reader.answer().body().size() + Buffer.capacity());
+  }
+  Received += reader.receivedBytes();
+  if (readError) {
+    Stream.reset();
+    result.Failure = "read: " + readError.message();
+    co_return result;
   }
-  result.Status = static_cast<int>(parser.get().result_int());
-  copyHeaders(parser.get(), result);
-  result.Body = std::move(parser.get().body());
-  if (!parser.get().keep_alive())
+  result.Status = static_cast<int>(reader.answer().result_int());
+  copyHeaders(reader.answer(), result);
+  result.Body = std::move(reader.answer().body());
+  if (!reader.answer().keep_alive())
     Stream.reset();
   co_return result;
 }
--- a/drivers/relay/attempt_runner.cpp
+++ b/drivers/relay/attempt_runner.cpp
@@ -24,7 +24,7 @@
 using core::relay::Dispatch;
 using core::routes::RouteKind;
 using loop::AsTuple;
-using AnswerParser = bhttp::response_parser<bhttp::buffer_body>;
+using AnswerReader = loop::AnswerReader<bhttp::buffer_body>;
 
 /// A slower connection isn't worth waiting for: this is about ten times the
 /// longest round trip between availability zones.
@@ -36,9 +36,6 @@
 /// silent.
 constexpr absl::Duration UnreadBytesTime = absl::Milliseconds(20);
 constexpr uint32_t MaxAnswerHeaderBytes = 64 << 10;
-/// Interim answers (1xx) accepted before the final one; servers send one or
-/// two.
-constexpr int MaxInterimAnswers = 16;
 constexpr size_t ReadBufferBytes = 8 << 10;
 constexpr int StatusUnavailable = 503;
 constexpr int StatusWrongBackend = 421;
@@ -54,7 +51,8 @@
   return ids;
 }
 
-core::relay::BodyFraming framingOf(const AnswerParser &parser) {
+core::relay::BodyFraming framingOf(const AnswerReader &reader) {
+  const AnswerReader::Parser &parser = reader.parser();
   if (parser.need_eof())
     return core::relay::BodyFraming::ConnectionClose;
   return parser.chunked() ? core::relay::BodyFraming::Chunks
@@ -384,27 +382,19 @@
 }
 
 asio::awaitable<AttemptEnd> AttemptRunner::readAnswer() {
-  for (int interim = 0; interim < MaxInterimAnswers; ++interim) {
-    AnswerParser parser;
-    parser.body_limit(boost::none);
-    parser.header_limit(MaxAnswerHeaderBytes);
-    if (Call.Request.method() == bhttp::verb::head)
-      parser.skip(true);
-    const auto [ec, n] = co_await bhttp::async_read_header(
-        Channel->Socket, Channel->Buffer, parser, AsTuple);
-    if (ec || isStopped())
-      co_return failedRead(ec, ReadOverrun::Head);
-    const auto status = static_cast<int>(parser.get().result_int());
-    if (status / 100 == 1)
-      continue;
-    if (const auto end = endByHead(parser.get()))
-      co_return *end;
-    if (status / 100 == 2 && Call.Route->Kind == RouteKind::Streaming &&
-        !isBodiless(Call.Request.method(), status))
-      co_return co_await relayStream(parser);
-    co_return co_await readPlain(parser);
-  }
-  co_return AttemptEnd::Garbled;
+  AnswerReader reader(MaxAnswerHeaderBytes, std::nullopt,
+                      Call.Request.method() == bhttp::verb::head);
+  const boost::system::error_code ec =
+      co_await reader.readHead(Channel->Socket, Channel->Buffer);
+  if (ec || isStopped())
+    co_return failedRead(ec, ReadOverrun::Head);
+  if (const auto end = endByHead(reader.answer()))
+    co_return *end;
+  const auto status = static_cast<int>(reader.answer().result_int());
+  if (status / 100 == 2 && Call.Route->Kind == RouteKind::Streaming &&
+      !isBodiless(Call.Request.method(), status))
+    co_return co_await relayStream(reader);
+  co_return co_await readPlain(reader);
 }
 
 std::optional<AttemptEnd>
@@ -449,16 +439,16 @@
   return std::nullopt;
 }
 
-asio::awaitable<AttemptEnd> AttemptRunner::readPlain(AnswerParser &parser) {
+asio::awaitable<AttemptEnd> AttemptRunner::readPlain(AnswerReader &reader) {
   Memory = core::limits::MemoryGrant(Context.Memory, MemoryUse::PlainAnswer);
   std::string body;
   std::array<char, ReadBufferBytes> buf{};
-  while (!parser.is_done()) {
-    parser.get().body().data = buf.data();
-    parser.get().body().size = buf.size();
-    const auto [ec, n] = co_await bhttp::async_read_some(
-        Channel->Socket, Channel->Buffer, parser, AsTuple);
-    body.append(buf.data(), buf.size() - parser.get().body().size);
+  while (!reader.isDone()) {
+    reader.answer().body().data = buf.data();
+    reader.answer().body().size = buf.size();
+    const boost::system::error_code ec =
+        co_await reader.readSome(Channel->Socket, Channel->Buffer);
+    body.append(buf.data(), buf.size() - reader.answer().body().size);
     if (ec && ec != bhttp::error::need_buffer)
       co_return failedRead(ec, ReadOverrun::Trailers);
     if (isStopped())
@@ -468,9 +458,9 @@
     if (!Memory.cover(body.size(), clock::steadyNow()))
       co_return AttemptEnd::TooLarge;
   }
-  const bool isFailure = parser.get().result_int() >= 500;
-  keepPlain(parser.get(), std::move(body));
-  returnChannel(parser);
+  const bool isFailure = reader.answer().result_int() >= 500;
+  keepPlain(reader.answer(), std::move(body));
+  returnChannel(reader);
   co_return isFailure ? AttemptEnd::Failed : AttemptEnd::Answered;
 }
 
@@ -491,41 +481,41 @@
   Plain = std::move(response);
 }
 
-asio::awaitable<AttemptEnd> AttemptRunner::relayStream(AnswerParser &parser) {
-  Head = forwardedHead(parser.get());
-  const core::relay::BodyFraming framing = framingOf(parser);
-  const AttemptEnd end = co_await relayEvents(parser);
+asio::awaitable<AttemptEnd> AttemptRunner::relayStream(AnswerReader &reader) {
+  Head = forwardedHead(reader.answer());
+  const core::relay::BodyFraming framing = framingOf(reader);
+  const AttemptEnd end = co_await relayEvents(reader);
   Record.Stream = {framing, Events.isInsideEvent()};
   Context.Metrics.streamEnded(core::relay::bodyFramingName(framing),
                               Events.isInsideEvent());
   if (end != AttemptEnd::Answered)
     co_return end;
   if (Events.isInsideEvent()) {
-    if (isEventStream(parser.get()))
+    if (isEventStream(reader.answer()))
       co_return AttemptEnd::Broken;
     const bool isForwarded = co_await forward(Events.takeRest());
     if (!isForwarded) {
       co_return Stopped.value_or(AttemptEnd::CallerGone);
     }
   }
-  returnChannel(parser);
+  returnChannel(reader);
   const bool isEnded = co_await forwardEnd();
   if (!isEnded)
     co_return Stopped.value_or(AttemptEnd::CallerGone);
   co_return AttemptEnd::Answered;
 }
 
-asio::awaitable<AttemptEnd> AttemptRunner::relayEvents(AnswerParser &parser) {
+asio::awaitable<AttemptEnd> AttemptRunner::relayEvents(AnswerReader &reader) {
   Memory = core::limits::MemoryGrant(Context.Memory, MemoryUse::Event);
   std::array<char, ReadBufferBytes> buf{};
-  while (!parser.is_done()) {
-    parser.get().body().data = buf.data();
-    parser.get().body().size = buf.size();
-    const auto [ec, n] = co_await bhttp::async_read_some(
-        Channel->Socket, Channel->Buffer, parser, AsTuple);
+  while (!reader.isDone()) {
+    reader.answer().body().data = buf.data();
+    reader.answer().body().size = buf.size();
+    const boost::system::error_code ec =
+        co_await reader.readSome(Channel->Socket, Channel->Buffer);
     if (isStopped())
       co_return interruptedEnd(true);
-    const size_t got = buf.size() - parser.get().body().size;
+    const size_t got = buf.size() - reader.answer().body().size;
     std::string out = Events.push({buf.data(), got});
     if (!out.empty()) {
       eventsReceived(clock::steadyNow());
@@ -579,10 +569,10 @@
   Timer.setEnd(now + CallerWriteTimeout);
 }
 
-void AttemptRunner::returnChannel(const AnswerParser &parser) {
-  if (!parser.keep_alive() || parser.need_eof())
+void AttemptRunner::returnChannel(AnswerReader &reader) {
+  if (!reader.parser().keep_alive() || reader.parser().need_eof())
     return;
-  Context.Channels.release(std::move(Channel), keepAliveTime(parser.get()),
+  Context.Channels.release(std::move(Channel), keepAliveTime(reader.answer()),
                            clock::steadyNow());
 }
 
--- a/drivers/relay/attempt_runner.h
+++ b/drivers/relay/attempt_runner.h
@@ -5,6 +5,7 @@
 #include "core/relay/attempt_policy.h"
 #include "core/relay/body_framing.h"
 #include "core/relay/event_stream.h"
+#include "drivers/loop/answer_reader.h"
 #include "drivers/relay/answer_writer.h"
 #include "drivers/relay/memory_lease.h"
 #include "drivers/relay/phase_timer.h"
@@ -120,7 +121,7 @@
   core::limits::MemoryGrant &answerMemory() { return Memory; }
 
 private:
-  using AnswerParser = bhttp::response_parser<bhttp::buffer_body>;
+  using AnswerReader = loop::AnswerReader<bhttp::buffer_body>;
 
   asio::awaitable<core::relay::AttemptEnd> exchange();
   /// Reserves memory at the helpers; returns false if any reservation failed or
@@ -153,10 +154,10 @@
   void markLeaving(std::string_view reason);
   /// Records that another backend server has the address.
   void doubtAddress(absl::Time now);
-  asio::awaitable<core::relay::AttemptEnd> readPlain(AnswerParser &parser);
-  asio::awaitable<core::relay::AttemptEnd> relayStream(AnswerParser &parser);
+  asio::awaitable<core::relay::AttemptEnd> readPlain(AnswerReader &reader);
+  asio::awaitable<core::relay::AttemptEnd> relayStream(AnswerReader &reader);
   /// Reads a stream and delivers its events until its body ends.
-  asio::awaitable<core::relay::AttemptEnd> relayEvents(AnswerParser &parser);
+  asio::awaitable<core::relay::AttemptEnd> relayEvents(AnswerReader &reader);
   /// These deliver to the caller; false if that failed or the attempt was
   /// stopped meanwhile.
   asio::awaitable<bool> forward(std::string events);
@@ -171,7 +172,7 @@
   /// \p wasSent is false when nothing of the call was written.
   core::relay::AttemptEnd interruptedEnd(bool wasSent) const;
   void keepPlain(const bhttp::response_header<> &head, std::string body);
-  void returnChannel(const AnswerParser &parser);
+  void returnChannel(AnswerReader &reader);
   void closeChannel();
   void finish(core::relay::AttemptEnd end, absl::Time now);
   /// Returns what the end of the attempt tells about the call as the cause of a
--- /dev/null
+++ b/tests/platform/test_backend_answers.cpp
@@ -0,0 +1,154 @@
+#include "tests/support/relay_fixture.h"
+
+#include <chrono>
+#include <fmt/format.h>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+// Last: it defines a macro called new.
+#include <CppUTest/TestHarness.h>
+
+using namespace orioletally::tests;
+namespace lab = orioletally::lab;
+
+namespace {
+
+using lab::RawConnection;
+using lab::RawRequest;
+
+/// After an answer that isn't HTTP, a server gets no calls for a while, so that
+/// each of the answers below needs servers of its own.
+constexpr int ServersPerService = 24;
+
+/// Headers of an answer that the node would deliver.
+constexpr const char *Identity = "X-Orioletally-Attempt-Id: {id}\r\n"
+                                 "X-Orioletally-Response-Signature: s\r\n";
+
+/// One answer of a backend server.
+struct Spoiled {
+  /// Has "{id}" for the attempt's id.
+  std::string Bytes;
+  /// Whether the connection is closed behind it.
+  bool IsClosed = false;
+};
+
+/// Servers that spoil the answer to the first attempt at each call and answer
+/// later ones as they should.
+class SpoilingServers {
+public:
+  SpoilingServers(RelayFixture &fixture, const std::string &service,
+                  StandInBackend::Script sound)
+      : Sound(std::move(sound)) {
+    for (int n = 0; n < ServersPerService; ++n) {
+      Servers.push_back(std::make_unique<StandInBackend>(
+          [this](const RawRequest &request, const RawConnection &out) {
+            return answer(request, out);
+          }));
+      fixture.listBackend(fmt::format("{}-{}", service, n), service,
+                          Servers.back()->address());
+    }
+  }
+
+  void spoil(const Spoiled &next) {
+    const std::lock_guard lock(Guard);
+    Next = next;
+  }
+
+  int attempts(const std::string &id) {
+    const std::lock_guard lock(Guard);
+    return Attempts[id];
+  }
+
+private:
+  bool answer(const RawRequest &request, const RawConnection &out) {
+    std::unique_lock lock(Guard);
+    const Spoiled own = Next;
+    const int attempt = ++Attempts[request.header("x-orioletally-attempt-id")];
+    lock.unlock();
+    if (attempt > 1)
+      return Sound(request, out);
+    return scripts::bytes(own.Bytes, own.IsClosed)(request, out);
+  }
+
+  std::mutex Guard;
+  Spoiled Next;
+  std::map<std::string, int> Attempts;
+  StandInBackend::Script Sound;
+  std::vector<std::unique_ptr<StandInBackend>> Servers;
+};
+
+} // namespace
+
+TEST_GROUP(BackendAnswers) {
+  RelayFixture fixture;
+  int Calls = 0;
+
+  void setup() override { fixture.configure(1); }
+
+  std::string nextId() { return fmt::format("a{}", ++Calls); }
+
+  CallerAnswer call(const std::string &path, const std::string &id) const {
+    return fixture.call(
+        "POST", path, fmt::format("X-Orioletally-Attempt-Id: {}\r\n", id), "b");
+  }
+
+  /// Checks that no caller gets one of \p answers: an order ends with 502 after
+  /// one attempt, a call that may be repeated has its answer from another
+  /// server.
+  void checkRefused(const std::vector<Spoiled> &answers) {
+    SpoilingServers servers(fixture, "plain", scripts::answer("sound"));
+    CHECK(fixture.start(ServersPerService));
+    for (const Spoiled &it : answers) {
+      servers.spoil(it);
+      const std::string order = nextId();
+      const CallerAnswer answer = call("/write/x", order);
+      LONGS_EQUAL_TEXT(502, answer.Status, it.Bytes.c_str());
+      LONGS_EQUAL_TEXT(1, servers.attempts(order), it.Bytes.c_str());
+      STRCMP_EQUAL("sound", call("/read/x", nextId()).Body.c_str());
+    }
+  }
+
+  /// The same for streams, which no other server continues before an event.
+  void checkStreamsRefused(const std::vector<Spoiled> &answers) {
+    SpoilingServers servers(fixture, "engine", scripts::stream(1, 3, 1));
+    CHECK(fixture.start(ServersPerService));
+    for (const Spoiled &it : answers) {
+      servers.spoil(it);
+      const std::string id = nextId();
+      const CallerAnswer answer = call("/once/x", id);
+      LONGS_EQUAL_TEXT(502, answer.Status, it.Bytes.c_str());
+      LONGS_EQUAL_TEXT(1, servers.attempts(id), it.Bytes.c_str());
+    }
+  }
+};
+
+namespace {
+
+std::vector<Spoiled> withStatuses(const std::string &rest) {
+  std::vector<Spoiled> answers;
+  for (const char *status : {"000", "007", "099", "600", "999"})
+    answers.push_back(
+        {fmt::format("HTTP/1.1 {} X\r\n{}{}", status, Identity, rest)});
+  answers.push_back(
+      {fmt::format("HTTP/1.1 101 Switching Protocols\r\n{}\r\n", Identity) +
+       fmt::format("HTTP/1.1 200 OK\r\n{}{}", Identity, rest)});
+  return answers;
+}
+
+} // namespace
+
+// Guards against an answer whose status HTTP doesn't have reaching a caller
+// (review/10).
+TEST(BackendAnswers, StatusOutsideOfHttpIsNotDelivered) {
+  checkRefused(withStatuses("Content-Length: 5\r\n\r\nwhole"));
+}
+
+TEST(BackendAnswers, StreamWithStatusOutsideOfHttpIsNotDelivered) {
+  checkStreamsRefused(withStatuses("Content-Type: text/event-stream\r\n"
+                                   "Content-Length: 18\r\n\r\n"
+                                   "id: 1\ndata: whole\n"));
+}
