--- a/drivers/loop/answer_reader.cpp
+++ b/drivers/loop/answer_reader.cpp
@@ -1,11 +1,14 @@
 #include "drivers/loop/answer_reader.h"
 
+#include <stdexcept>
+
 namespace orioletally::drivers::loop {
 
 namespace {
 
 constexpr unsigned MinStatus = 100;
 constexpr unsigned MaxStatus = 599;
+constexpr size_t MaxReadBytes = 64 << 10;
 
 } // namespace
 
@@ -19,4 +22,25 @@
   return {};
 }
 
+bool hasFoldedLine(std::string_view head) {
+  for (size_t at = head.find('\n'); at != std::string_view::npos;
+       at = head.find('\n', at + 1)) {
+    const char next = at + 1 < head.size() ? head[at + 1] : '\0';
+    if (next == ' ' || next == '\t')
+      return true;
+  }
+  return false;
+}
+
+std::optional<ReadBuffer::mutable_buffers_type> readSpace(ReadBuffer &buffer) {
+  const size_t n = beast::read_size(buffer, MaxReadBytes);
+  if (n == 0)
+    return std::nullopt;
+  try {
+    return buffer.prepare(n);
+  } catch (const std::length_error &) {
+    return std::nullopt;
+  }
+}
+
 } // namespace orioletally::drivers::loop
--- a/drivers/loop/answer_reader.h
+++ b/drivers/loop/answer_reader.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string_view>
 
 namespace orioletally::drivers::loop {
 
@@ -12,6 +13,16 @@
 /// accepts it; no error if it isn't.
 boost::system::error_code checkAnswerHead(const bhttp::response_header<> &head);
 
+/// Whether a line in \p head, a part of a message's head that ends with a line,
+/// is continued on the next one. RFC 9112 lets a gateway refuse such an answer
+/// (section 5.2). Parsers disagree about it: to some, the second line is a
+/// field of its own.
+bool hasFoldedLine(std::string_view head);
+
+/// Returns space in \p buffer for the next read; empty if it is full or the
+/// account has no memory.
+std::optional<ReadBuffer::mutable_buffers_type> readSpace(ReadBuffer &buffer);
+
 /// Reads one answer of a server and refuses what RFC 9112 doesn't allow. All
 /// clients use it. \p Body is a body type of Beast.
 template <typename Body> class AnswerReader {
@@ -51,6 +62,10 @@
   static constexpr int MaxInterimAnswers = 16;
 
   void reset();
+  /// Reads one head, of an interim answer or the final one.
+  template <typename Stream>
+  asio::awaitable<boost::system::error_code> parseHead(Stream &stream,
+                                                       ReadBuffer &buffer);
 
   uint32_t MaxHeadBytes;
   std::optional<uint64_t> MaxBodyBytes;
@@ -75,9 +90,7 @@
 AnswerReader<Body>::readHead(Stream &stream, ReadBuffer &buffer) {
   for (int interim = 0; interim < MaxInterimAnswers; ++interim) {
     reset();
-    const auto [ec, n] =
-        co_await bhttp::async_read_header(stream, buffer, *Message, AsTuple);
-    Received += n;
+    const boost::system::error_code ec = co_await parseHead(stream, buffer);
     if (ec) {
       co_return ec;
     }
@@ -93,6 +106,45 @@
   co_return bhttp::make_error_code(bhttp::error::bad_status);
 }
 
+// Beast's own operation would take the bytes from the buffer before they can be
+// checked.
+template <typename Body>
+template <typename Stream>
+asio::awaitable<boost::system::error_code>
+AnswerReader<Body>::parseHead(Stream &stream, ReadBuffer &buffer) {
+  while (true) {
+    if (buffer.size() > 0) {
+      boost::system::error_code ec;
+      const auto bytes = buffer.data();
+      const size_t n = Message->put(bytes, ec);
+      const bool isFolded =
+          hasFoldedLine({static_cast<const char *>(bytes.data()), n});
+      buffer.consume(n);
+      Received += n;
+      if (isFolded) {
+        co_return bhttp::make_error_code(bhttp::error::bad_obs_fold);
+      }
+      if (ec != bhttp::error::need_more) {
+        co_return ec;
+      }
+    }
+    const auto space = readSpace(buffer);
+    if (!space.has_value()) {
+      co_return bhttp::make_error_code(bhttp::error::buffer_overflow);
+    }
+    const auto [ec, n] = co_await stream.async_read_some(*space, AsTuple);
+    buffer.commit(n);
+    if (ec == asio::error::eof) {
+      co_return bhttp::make_error_code(Message->got_some()
+                                           ? bhttp::error::partial_message
+                                           : bhttp::error::end_of_stream);
+    }
+    if (ec) {
+      co_return ec;
+    }
+  }
+}
+
 template <typename Body>
 template <typename Stream>
 asio::awaitable<boost::system::error_code>
--- a/tests/drivers/test_answer_reader.cpp
+++ b/tests/drivers/test_answer_reader.cpp
@@ -113,6 +113,34 @@
   STRCMP_EQUAL("sound", body.c_str());
 }
 
+// Guards against a line that begins with a blank being joined to the one before
+// it, which hides the field that it names.
+TEST(AnswerReader, RefusesFoldedLines) {
+  checkRefused("HTTP/1.1 200 OK\r\nX-A: b\r\n Content-Length: 20\r\n\r\nwhole",
+               false);
+  checkRefused("HTTP/1.1 200 OK\r\nX-A: b\r\n\tX-B: c\r\nContent-Length: 5"
+               "\r\n\r\nwhole");
+  checkRefused("HTTP/1.1 200 OK\r\nX-A:\r\n b\r\nContent-Length: 5"
+               "\r\n\r\nwhole");
+}
+
+// Guards against a folded line that is missed where the bytes are parsed in
+// parts.
+TEST(AnswerReader, RefusesFoldedLinesThatArriveInParts) {
+  const std::string bytes = "HTTP/1.1 200 OK\r\nX-A: b\r\n c\r\n"
+                            "Content-Length: 5\r\n\r\nwhole";
+  for (size_t cut = 1; cut + 1 < bytes.find("\r\n\r\n"); ++cut) {
+    const RawServer server([&](const RawRequest &, const RawConnection &out) {
+      out.write(bytes.substr(0, cut));
+      std::this_thread::sleep_for(std::chrono::milliseconds(2));
+      out.write(bytes.substr(cut));
+      return true;
+    });
+    StoreCalls store(server.address());
+    LONGS_EQUAL(0, store.call().Status);
+  }
+}
+
 // Field names, values, sizes and ends that Beast refuses by itself.
 TEST(AnswerReader, RefusesMalformedLines) {
   const std::string start = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n";
--- a/tests/platform/test_backend_answers.cpp
+++ b/tests/platform/test_backend_answers.cpp
@@ -152,3 +152,23 @@
                                    "Content-Length: 18\r\n\r\n"
                                    "id: 1\ndata: whole\n"));
 }
+
+// Guards against a head with a line that begins with a blank: the line is
+// joined to the one before it, so that the body's length or the answer's
+// signature may be lost.
+TEST(BackendAnswers, FoldedLineIsNotDelivered) {
+  const std::string start = fmt::format("HTTP/1.1 200 OK\r\n{}", Identity);
+  checkRefused({
+      {start + "X-A: b\r\n X-B: c\r\nContent-Length: 5\r\n\r\nwhole"},
+      {start + "X-A: b\r\n\tX-B: c\r\nContent-Length: 5\r\n\r\nwhole"},
+      {start + "X-A: b\r\n Content-Length: 20\r\n\r\nwhole", true},
+  });
+}
+
+TEST(BackendAnswers, StreamWithFoldedLineIsNotDelivered) {
+  checkStreamsRefused(
+      {{fmt::format("HTTP/1.1 200 OK\r\n{}X-A: b\r\n Content-Length: 99\r\n"
+                    "\r\nid: 1\ndata: whole\n\n",
+                    Identity),
+        true}});
+}
