--- a/drivers/loop/answer_reader.cpp
+++ b/drivers/loop/answer_reader.cpp
@@ -1,5 +1,7 @@
 #include "drivers/loop/answer_reader.h"
 
+#include "drivers/loop/message_framing.h"
+
 #include <stdexcept>
 
 namespace orioletally::drivers::loop {
@@ -19,6 +21,11 @@
   if (status < MinStatus || status > MaxStatus ||
       head.result() == bhttp::status::switching_protocols)
     return bhttp::make_error_code(bhttp::error::bad_status);
+  // Transfer encodings came with HTTP/1.1.
+  const bool isEncoded = head.count(bhttp::field::transfer_encoding) > 0;
+  if (isFramingAmbiguous(head) ||
+      (isEncoded && head.version() < FirstChunkedVersion))
+    return bhttp::make_error_code(bhttp::error::bad_transfer_encoding);
   return {};
 }
 
--- a/drivers/loop/message_framing.cpp
+++ b/drivers/loop/message_framing.cpp
@@ -3,13 +3,12 @@
 namespace orioletally::drivers::loop {
 
 bool isFramingAmbiguous(const bhttp::fields &fields) {
-  const auto encoding = fields[bhttp::field::transfer_encoding];
-  if (!encoding.empty() && !beast::iequals(encoding, "chunked"))
+  const size_t lengths = fields.count(bhttp::field::content_length);
+  const size_t encodings = fields.count(bhttp::field::transfer_encoding);
+  if (lengths + encodings > 1)
     return true;
-  if (fields.count(bhttp::field::content_length) > 1 ||
-      fields.count(bhttp::field::transfer_encoding) > 1)
-    return true;
-  return !encoding.empty() && fields.count(bhttp::field::content_length) > 0;
+  return encodings == 1 &&
+         !beast::iequals(fields[bhttp::field::transfer_encoding], "chunked");
 }
 
 } // namespace orioletally::drivers::loop
--- a/tests/drivers/test_answer_reader.cpp
+++ b/tests/drivers/test_answer_reader.cpp
@@ -141,6 +141,23 @@
   }
 }
 
+// Guards against a body whose end depends on who reads it.
+TEST(AnswerReader, RefusesAmbiguousFraming) {
+  const std::string chunked = "5\r\nwhole\r\n0\r\n\r\n";
+  checkRefused("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n" +
+               chunked);
+  checkRefused("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nwhole",
+               false);
+  checkRefused("HTTP/1.1 200 OK\r\nTransfer-Encoding:\r\n"
+               "Content-Length: 5\r\n\r\nwhole");
+  checkRefused("HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n"
+               "Content-Length: 5\r\n\r\nwhole");
+  checkRefused("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 5"
+               "\r\n\r\nwhole");
+  checkRefused("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+               chunked);
+}
+
 // Field names, values, sizes and ends that Beast refuses by itself.
 TEST(AnswerReader, RefusesMalformedLines) {
   const std::string start = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n";
--- a/tests/platform/test_backend_answers.cpp
+++ b/tests/platform/test_backend_answers.cpp
@@ -172,3 +172,31 @@
                     Identity),
         true}});
 }
+
+// Guards against a body whose end or coding the node takes for another than the
+// server does.
+TEST(BackendAnswers, AmbiguousFramingIsNotDelivered) {
+  const std::string start = fmt::format("HTTP/1.1 200 OK\r\n{}", Identity);
+  const std::string old = fmt::format("HTTP/1.0 200 OK\r\n{}", Identity);
+  const std::string chunked = "\r\n5\r\nwhole\r\n0\r\n\r\n";
+  checkRefused({
+      {start + "Transfer-Encoding: gzip, chunked\r\n" + chunked},
+      {start + "Transfer-Encoding: gzip\r\n\r\nwhole", true},
+      {start + "Transfer-Encoding: identity\r\nContent-Length: 5\r\n\r\nwhole"},
+      {start + "Transfer-Encoding:\r\nContent-Length: 5\r\n\r\nwhole"},
+      {start + "Content-Length: 5\r\nContent-Length: 5\r\n\r\nwhole"},
+      {old + "Transfer-Encoding: chunked\r\n" + chunked},
+  });
+}
+
+TEST(BackendAnswers, StreamWithAmbiguousFramingIsNotDelivered) {
+  const std::string start = fmt::format(
+      "HTTP/1.1 200 OK\r\n{}Content-Type: text/event-stream\r\n", Identity);
+  const std::string event = "id: 1\ndata: a\n\n";
+  checkStreamsRefused({
+      {start + "Transfer-Encoding: gzip\r\n\r\n" + event, true},
+      {fmt::format("{}Transfer-Encoding: gzip, chunked\r\n\r\n{:x}\r\n{}\r\n"
+                   "0\r\n\r\n",
+                   start, event.size(), event)},
+  });
+}
