--- a/drivers/loop/answer_reader.h
+++ b/drivers/loop/answer_reader.h
@@ -1,6 +1,7 @@
 #ifndef ORIOLETALLY_DRIVERS_LOOP_ANSWER_READER_H
 #define ORIOLETALLY_DRIVERS_LOOP_ANSWER_READER_H
 
+#include "drivers/loop/connection_end.h"
 #include "drivers/loop/read_buffer.h"
 
 #include <cstdint>
@@ -23,6 +24,13 @@
 /// account has no memory.
 std::optional<ReadBuffer::mutable_buffers_type> readSpace(ReadBuffer &buffer);
 
+inline asio::ip::tcp::socket &socketOf(asio::ip::tcp::socket &stream) {
+  return stream;
+}
+inline asio::ip::tcp::socket &socketOf(beast::tcp_stream &stream) {
+  return stream.socket();
+}
+
 /// Reads one answer of a server and refuses what RFC 9112 doesn't allow. All
 /// clients use it. \p Body is a body type of Beast.
 template <typename Body> class AnswerReader {
@@ -42,7 +50,8 @@
   asio::awaitable<boost::system::error_code> readHead(Stream &stream,
                                                       ReadBuffer &buffer);
 
-  /// Reads a part of the body, after readHead().
+  /// Reads a part of the body, after readHead(). A body that the end of its
+  /// connection cuts off isn't complete.
   template <typename Stream>
   asio::awaitable<boost::system::error_code> readSome(Stream &stream,
                                                       ReadBuffer &buffer);
@@ -152,6 +161,10 @@
   const auto [ec, n] =
       co_await bhttp::async_read_some(stream, buffer, *Message, AsTuple);
   Received += n;
+  const bool isEndedByClose = !ec && isDone() && Message->need_eof();
+  if (isEndedByClose && !hasClosedInOrder(socketOf(stream))) {
+    co_return bhttp::make_error_code(bhttp::error::partial_message);
+  }
   co_return ec;
 }
 
--- a/drivers/loop/connection_end.cpp
+++ b/drivers/loop/connection_end.cpp
@@ -2,8 +2,10 @@
 
 #include <array>
 #include <cerrno>
+#include <linux/sockios.h>
 #include <poll.h>
 #include <stdexcept>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <utility>
 
@@ -32,6 +34,20 @@
   return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+bool hasClosedInOrder(asio::ip::tcp::socket &socket) {
+  int error = 0;
+  socklen_t size = sizeof(error);
+  if (::getsockopt(socket.native_handle(), SOL_SOCKET, SO_ERROR, &error,
+                   &size) != 0 ||
+      error != 0)
+    return false;
+  // Bytes that the peer hasn't acknowledged; its answer acknowledges all that
+  // it had received. Where the system doesn't count them, none are assumed.
+  int pending = 0;
+  return ::ioctl(socket.native_handle(), SIOCOUTQ, &pending) != 0 ||
+         pending == 0;
+}
+
 void watchPeer(asio::ip::tcp::socket &socket, std::function<void()> onGone) {
   socket.async_wait(
       asio::ip::tcp::socket::wait_read,
--- a/drivers/loop/connection_end.h
+++ b/drivers/loop/connection_end.h
@@ -15,6 +15,11 @@
 /// because the two look the same.
 bool isPeerGone(asio::ip::tcp::socket &socket);
 
+/// Whether a peer that has closed its side did so in order: it had received all
+/// that was sent to it, and no reset has come since. A peer that closes before
+/// that may have broken off; on the wire, the two look the same.
+bool hasClosedInOrder(asio::ip::tcp::socket &socket);
+
 /// Calls \p onGone once when the peer closes \p socket. Data from the peer, or
 /// cancelling the socket's operations, ends the watch. \p onGone must keep the
 /// socket alive.
--- a/tests/lab/raw_server.cpp
+++ b/tests/lab/raw_server.cpp
@@ -16,6 +16,7 @@
 
 constexpr int Backlog = 256;
 constexpr size_t ReadBytes = 16 << 10;
+constexpr int SmallBuffer = 8 << 10;
 
 sockaddr_in loopback(uint16_t port) {
   sockaddr_in address{};
@@ -58,7 +59,7 @@
 
 RawConnection::~RawConnection() { ::close(Fd); }
 
-std::optional<RawRequest> RawConnection::read() {
+std::optional<RawRequest> RawConnection::read(RequestPart part) {
   std::string buf(ReadBytes, '\0');
   size_t end = Buffer.find("\r\n\r\n");
   while (end == std::string::npos) {
@@ -70,6 +71,8 @@
   }
   RawRequest request = parseHead(Buffer.substr(0, end + 2));
   Buffer.erase(0, end + 4);
+  if (part == RequestPart::Head)
+    return request;
   const size_t length =
       std::strtoul(request.header("content-length").c_str(), nullptr, 10);
   while (Buffer.size() < length) {
@@ -139,8 +142,15 @@
 
 void RawConnection::shutdown() const { ::shutdown(Fd, SHUT_RDWR); }
 
-RawServer::RawServer(Handler handler) : Handle(std::move(handler)) {
+void RawConnection::shutdownSending() const { ::shutdown(Fd, SHUT_WR); }
+
+RawServer::RawServer(Handler handler, RequestPart part)
+    : Handle(std::move(handler)), Part(part) {
   Listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  // Accepted connections inherit the size of the buffer.
+  if (part == RequestPart::Head)
+    ::setsockopt(Listener, SOL_SOCKET, SO_RCVBUF, &SmallBuffer,
+                 sizeof(SmallBuffer));
   sockaddr_in address = loopback(0);
   ::bind(Listener, reinterpret_cast<sockaddr *>(&address), sizeof(address));
   ::listen(Listener, Backlog);
@@ -177,7 +187,7 @@
 }
 
 void RawServer::serve(const std::shared_ptr<RawConnection> &connection) {
-  while (const std::optional<RawRequest> request = connection->read())
+  while (const std::optional<RawRequest> request = connection->read(Part))
     if (!Handle(*request, *connection))
       break;
   const std::lock_guard lock(Guard);
--- a/tests/lab/raw_server.h
+++ b/tests/lab/raw_server.h
@@ -23,6 +23,9 @@
   std::string header(const std::string &name) const;
 };
 
+/// How much of a request is read before it is answered.
+enum class RequestPart { Whole, Head };
+
 /// A connection on which any bytes can be written, malformed ones too.
 class RawConnection {
 public:
@@ -31,8 +34,9 @@
   RawConnection(const RawConnection &) = delete;
   RawConnection &operator=(const RawConnection &) = delete;
 
-  /// Reads one complete request; empty if the peer closes first.
-  std::optional<RawRequest> read();
+  /// Reads one request, without its body if \p part is Head; empty if the peer
+  /// closes first.
+  std::optional<RawRequest> read(RequestPart part = RequestPart::Whole);
   void write(const std::string &bytes) const;
   /// Returns the next bytes; empty if the peer closes or stays silent for
   /// \p ms.
@@ -47,6 +51,8 @@
   /// Makes the close send a TCP reset.
   void reset() const;
   void shutdown() const;
+  /// Ends what is sent; the peer can still send.
+  void shutdownSending() const;
 
 private:
   int Fd;
@@ -61,7 +67,9 @@
   using Handler =
       std::function<bool(const RawRequest &, const RawConnection &)>;
 
-  explicit RawServer(Handler handler);
+  /// With \p part Head, connections have small receive buffers, so that what
+  /// isn't read stays with the peer.
+  explicit RawServer(Handler handler, RequestPart part = RequestPart::Whole);
   ~RawServer();
   RawServer(const RawServer &) = delete;
   RawServer &operator=(const RawServer &) = delete;
@@ -74,6 +82,7 @@
   void serve(const std::shared_ptr<RawConnection> &connection);
 
   Handler Handle;
+  RequestPart Part;
   int Listener = -1;
   std::string Address;
   std::atomic<bool> Stopping = false;
--- a/tests/platform/test_backend_answers.cpp
+++ b/tests/platform/test_backend_answers.cpp
@@ -200,3 +200,111 @@
                    start, event.size(), event)},
   });
 }
+
+TEST_GROUP(EarlyAnswers) {
+  /// More than a server with small buffers accepts before it reads.
+  static constexpr size_t UploadBytes = 400'000;
+  static constexpr size_t MaxUploadBytes = 4'000'000;
+  RelayFixture fixture;
+
+  void setup() override {
+    fixture.MaxBodyBytes = MaxUploadBytes;
+    fixture.configure(1);
+  }
+
+  /// What a server does after the first bytes of an answer without a length,
+  /// which it has written without reading the request's body.
+  enum class End { Close, HalfClose, Reset, HalfCloseThenReset };
+
+  /// Makes \p calls calls to \p path with bodies of \p bytes and returns how
+  /// many had a part of an answer delivered as a whole one. The servers wait
+  /// \p delayMs before the end.
+  int countTruncated(const char *service, const char *path,
+                     const std::string &type, End end, size_t bytes,
+                     int delayMs) {
+    std::vector<std::unique_ptr<lab::RawServer>> servers;
+    for (int n = 0; n < ServersPerService; ++n) {
+      servers.push_back(std::make_unique<lab::RawServer>(
+          [=](const RawRequest &request, const RawConnection &out) {
+            out.write(fmt::format(
+                "HTTP/1.1 200 OK\r\nX-Orioletally-Attempt-Id: {}\r\n"
+                "X-Orioletally-Response-Signature: s\r\n{}\r\n{}",
+                request.header("x-orioletally-attempt-id"), type,
+                type.empty() ? "abc" : "id: 1\ndata: a\n\n"));
+            std::this_thread::sleep_for(std::chrono::milliseconds(delayMs));
+            if (end == End::HalfClose || end == End::HalfCloseThenReset) {
+              out.shutdownSending();
+              std::this_thread::sleep_for(std::chrono::milliseconds(
+                  end == End::HalfClose ? HalfCloseMs : delayMs));
+            }
+            if (end == End::Reset || end == End::HalfCloseThenReset)
+              out.reset();
+            return false;
+          },
+          lab::RequestPart::Head));
+      fixture.listBackend(fmt::format("{}-{}", service, n), service,
+                          servers.back()->address());
+    }
+    CHECK(fixture.start(ServersPerService));
+    int truncated = 0;
+    for (int n = 0; n < ServersPerService / 2; ++n) {
+      const CallerAnswer answer = fixture.call(
+          "POST", path, fmt::format("X-Orioletally-Attempt-Id: a{}\r\n", n),
+          std::string(bytes, 'b'));
+      const bool isWhole =
+          answer.Complete || answer.header("content-length") == "3";
+      truncated += answer.Status == 200 && isWhole ? 1 : 0;
+    }
+    return truncated;
+  }
+
+  static constexpr int HalfCloseMs = 1'500;
+
+  void checkPlain(End end, size_t bytes, int delayMs) {
+    LONGS_EQUAL(0,
+                countTruncated("plain", "/write/x", "", end, bytes, delayMs));
+  }
+  void checkStream(End end, size_t bytes, int delayMs) {
+    LONGS_EQUAL(0, countTruncated("engine", "/once/x",
+                                  "Content-Type: text/event-stream\r\n", end,
+                                  bytes, delayMs));
+  }
+};
+
+// These guard against a part of an answer delivered as a whole one: the server
+// ends the connection before it has received the request.
+TEST(EarlyAnswers, ResetIsNotTheEndOfAnAnswer) {
+  checkPlain(End::Reset, UploadBytes, 5);
+}
+
+TEST(EarlyAnswers, ResetBeforeTheNodeReadsIsNotTheEndOfAnAnswer) {
+  checkPlain(End::Reset, UploadBytes, 0);
+}
+
+TEST(EarlyAnswers, ResetUnderALargeUploadIsNotTheEndOfAnAnswer) {
+  checkPlain(End::Reset, MaxUploadBytes, 5);
+}
+
+TEST(EarlyAnswers, CloseBeforeTheRequestIsReadIsNotTheEndOfAnAnswer) {
+  checkPlain(End::Close, UploadBytes, 5);
+}
+
+TEST(EarlyAnswers, HalfCloseBeforeTheRequestIsReadIsNotTheEndOfAnAnswer) {
+  checkPlain(End::HalfClose, UploadBytes, 5);
+}
+
+TEST(EarlyAnswers, ResetAfterAHalfCloseIsNotTheEndOfAnAnswer) {
+  checkPlain(End::HalfCloseThenReset, UploadBytes, 5);
+}
+
+TEST(EarlyAnswers, ResetIsNotTheEndOfAStream) {
+  checkStream(End::Reset, UploadBytes, 5);
+}
+
+TEST(EarlyAnswers, HalfCloseBeforeTheRequestIsReadIsNotTheEndOfAStream) {
+  checkStream(End::HalfClose, UploadBytes, 5);
+}
+
+TEST(EarlyAnswers, ResetAfterAHalfCloseIsNotTheEndOfAStream) {
+  checkStream(End::HalfCloseThenReset, UploadBytes, 5);
+}
