--- a/drivers/loop/http_client.cpp
+++ b/drivers/loop/http_client.cpp
@@ -104,6 +104,9 @@
                                        core::limits::MemoryUse::StoreAnswer);
   boost::system::error_code readError =
       co_await reader.readHead(*Stream, Buffer);
+  // Reading the body adds the fields of its trailers to the answer's head.
+  if (!readError)
+    copyHeaders(reader.answer(), result);
   while (!readError && !reader.isDone()) {
     readError = co_await reader.readSome(*Stream, Buffer);
     memory.require(reader.answer().body().size() + Buffer.capacity());
@@ -111,11 +114,11 @@
   Received += reader.receivedBytes();
   if (readError) {
     Stream.reset();
+    result.Headers.clear();
     result.Failure = "read: " + readError.message();
     co_return result;
   }
   result.Status = static_cast<int>(reader.answer().result_int());
-  copyHeaders(reader.answer(), result);
   result.Body = std::move(reader.answer().body());
   if (!reader.answer().keep_alive())
     Stream.reset();
--- a/drivers/relay/attempt_runner.cpp
+++ b/drivers/relay/attempt_runner.cpp
@@ -39,6 +39,7 @@
 constexpr size_t ReadBufferBytes = 8 << 10;
 constexpr int StatusUnavailable = 503;
 constexpr int StatusWrongBackend = 421;
+constexpr int StatusNoContent = 204;
 /// Subtracted from the time left that is sent to a backend server, so that its
 /// answer arrives before the deadline.
 constexpr absl::Duration AnswerTransitTime = absl::Milliseconds(5);
@@ -59,9 +60,10 @@
                           : core::relay::BodyFraming::Length;
 }
 
-/// Returns the head that \p from has for the caller.
-StreamHead forwardedHead(const bhttp::response_header<> &from) {
-  StreamHead head;
+/// Returns an answer for the caller with the head \p from and no body yet.
+template <typename Message>
+Message withHeadOf(const bhttp::response_header<> &from) {
+  Message head;
   head.version(11);
   head.result(from.result_int());
   copyEndToEnd(from, head, [](std::string_view) { return false; });
@@ -441,6 +443,9 @@
 
 asio::awaitable<AttemptEnd> AttemptRunner::readPlain(AnswerReader &reader) {
   Memory = core::limits::MemoryGrant(Context.Memory, MemoryUse::PlainAnswer);
+  // Reading the body adds the fields of its trailers to the answer's head.
+  auto response = withHeadOf<PlainResponse>(reader.answer());
+  const std::string length(view(reader.answer()[bhttp::field::content_length]));
   std::string body;
   std::array<char, ReadBufferBytes> buf{};
   while (!reader.isDone()) {
@@ -458,31 +463,20 @@
     if (!Memory.cover(body.size(), clock::steadyNow()))
       co_return AttemptEnd::TooLarge;
   }
-  const bool isFailure = reader.answer().result_int() >= 500;
-  keepPlain(reader.answer(), std::move(body));
-  returnChannel(reader);
-  co_return isFailure ? AttemptEnd::Failed : AttemptEnd::Answered;
-}
-
-void AttemptRunner::keepPlain(const bhttp::response_header<> &head,
-                              std::string body) {
-  PlainResponse response;
-  response.version(11);
-  response.result(head.result_int());
-  copyEndToEnd(head, response, [](std::string_view) { return false; });
-  if (isBodiless(Call.Request.method(), static_cast<int>(head.result_int()))) {
-    const auto length = head.find(bhttp::field::content_length);
-    if (length != head.end() && head.result() != bhttp::status::no_content)
-      response.set(bhttp::field::content_length, length->value());
-  } else {
+  const auto status = static_cast<int>(reader.answer().result_int());
+  if (!isBodiless(Call.Request.method(), status)) {
     response.body() = std::move(body);
     response.content_length(response.body().size());
+  } else if (!length.empty() && status != StatusNoContent) {
+    response.set(bhttp::field::content_length, length);
   }
   Plain = std::move(response);
+  returnChannel(reader);
+  co_return status >= 500 ? AttemptEnd::Failed : AttemptEnd::Answered;
 }
 
 asio::awaitable<AttemptEnd> AttemptRunner::relayStream(AnswerReader &reader) {
-  Head = forwardedHead(reader.answer());
+  Head = withHeadOf<StreamHead>(reader.answer());
   const core::relay::BodyFraming framing = framingOf(reader);
   const AttemptEnd end = co_await relayEvents(reader);
   Record.Stream = {framing, Events.isInsideEvent()};
--- a/drivers/relay/attempt_runner.h
+++ b/drivers/relay/attempt_runner.h
@@ -171,7 +171,6 @@
   /// Returns the outcome of an attempt whose connection failed or was closed.
   /// \p wasSent is false when nothing of the call was written.
   core::relay::AttemptEnd interruptedEnd(bool wasSent) const;
-  void keepPlain(const bhttp::response_header<> &head, std::string body);
   void returnChannel(AnswerReader &reader);
   void closeChannel();
   void finish(core::relay::AttemptEnd end, absl::Time now);
--- a/tests/drivers/test_answer_reader.cpp
+++ b/tests/drivers/test_answer_reader.cpp
@@ -177,3 +177,14 @@
   checkRefused("HTTP/1.1 200 OK\r\nContent-Length: 6" + end, false);
   checkRefused("HTTP/2.0 200 OK\r\nContent-Length: 5" + end);
 }
+
+// Guards against fields of a trailer taken for fields of the head.
+TEST(AnswerReader, KeepsTrailersOutOfTheHead) {
+  const RawServer server(always("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked"
+                                "\r\n\r\n5\r\nwhole\r\n0\r\nX-Late: 1\r\n\r\n",
+                                true));
+  StoreCalls store(server.address());
+  const HttpCallResult result = store.call();
+  LONGS_EQUAL(200, result.Status);
+  CHECK(result.header("X-Late").empty());
+}
--- a/tests/platform/test_backend_answers.cpp
+++ b/tests/platform/test_backend_answers.cpp
@@ -201,6 +201,23 @@
   });
 }
 
+// Guards against fields of a trailer delivered as fields of the head.
+TEST(BackendAnswers, TrailersAreNotDeliveredAsHead) {
+  StandInBackend server(scripts::bytes(
+      fmt::format("HTTP/1.1 200 OK\r\n{}Transfer-Encoding: chunked\r\n\r\n"
+                  "5\r\nwhole\r\n0\r\nX-Late: 1\r\n"
+                  "X-Orioletally-Response-Signature: other\r\n\r\n",
+                  Identity),
+      false));
+  fixture.listBackend("plain", "plain", server.address());
+  CHECK(fixture.start(1));
+  const CallerAnswer answer = call("/write/x", "a1");
+  LONGS_EQUAL(200, answer.Status);
+  STRCMP_EQUAL("whole", answer.Body.c_str());
+  STRCMP_EQUAL("", answer.header("x-late").c_str());
+  LONGS_EQUAL(std::string::npos, answer.Head.find("other"));
+}
+
 TEST_GROUP(EarlyAnswers) {
   /// More than a server with small buffers accepts before it reads.
   static constexpr size_t UploadBytes = 400'000;
