--- a/drivers/loop/connection_end.cpp
+++ b/drivers/loop/connection_end.cpp
@@ -34,6 +34,13 @@
   return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+bool isOpenAndIdle(asio::ip::tcp::socket &socket) {
+  char c = 0;
+  const ssize_t n =
+      ::recv(socket.native_handle(), &c, 1, MSG_PEEK | MSG_DONTWAIT);
+  return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 bool hasClosedInOrder(asio::ip::tcp::socket &socket) {
   int error = 0;
   socklen_t size = sizeof(error);
--- a/drivers/loop/connection_end.h
+++ b/drivers/loop/connection_end.h
@@ -15,6 +15,9 @@
 /// because the two look the same.
 bool isPeerGone(asio::ip::tcp::socket &socket);
 
+/// Whether \p socket is open and has no unread bytes.
+bool isOpenAndIdle(asio::ip::tcp::socket &socket);
+
 /// Whether a peer that has closed its side did so in order: it had received all
 /// that was sent to it, and no reset has come since. A peer that closes before
 /// that may have broken off; on the wire, the two look the same.
--- a/drivers/loop/http_client.cpp
+++ b/drivers/loop/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include "drivers/loop/answer_reader.h"
 #include "drivers/loop/asio_use.h"
+#include "drivers/loop/connection_end.h"
 #include "drivers/loop/endpoint.h"
 
 #include <boost/algorithm/string/predicate.hpp>
@@ -70,8 +71,9 @@
 
 asio::awaitable<HttpCallResult> HttpClient::call(HttpCall httpCall) {
   HttpCallResult result;
-  // close() may have come between two calls.
-  if (Stream != nullptr && !Stream->socket().is_open())
+  // Between two calls, close() may have come, the server may have closed, or it
+  // may have sent bytes that answer nothing.
+  if (Stream != nullptr && !isOpenAndIdle(Stream->socket()))
     Stream.reset();
   if (Stream == nullptr) {
     result.Failure = co_await connect(httpCall.Timeout);
@@ -120,7 +122,7 @@
   }
   result.Status = static_cast<int>(reader.answer().result_int());
   result.Body = std::move(reader.answer().body());
-  if (!reader.answer().keep_alive())
+  if (!reader.parser().keep_alive() || Buffer.size() > 0)
     Stream.reset();
   co_return result;
 }
--- a/drivers/relay/backend_channel.cpp
+++ b/drivers/relay/backend_channel.cpp
@@ -1,8 +1,8 @@
 #include "drivers/relay/backend_channel.h"
 
+#include "drivers/loop/connection_end.h"
+
 #include <algorithm>
-#include <cerrno>
-#include <sys/socket.h>
 #include <utility>
 
 namespace orioletally::drivers::relay {
@@ -18,14 +18,6 @@
 /// would expire unused.
 constexpr size_t MaxIdlePerServer = 8;
 
-/// Whether the connection is open and has no unread bytes.
-bool isOpenAndIdle(BackendChannel &channel) {
-  char c = 0;
-  const ssize_t n =
-      ::recv(channel.Socket.native_handle(), &c, 1, MSG_PEEK | MSG_DONTWAIT);
-  return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
 } // namespace
 
 std::unique_ptr<BackendChannel> ChannelPool::acquire(const std::string &address,
@@ -37,7 +29,7 @@
   while (!channels.empty()) {
     std::unique_ptr<BackendChannel> channel = std::move(channels.back());
     channels.pop_back();
-    if (now < channel->ReusableUntil && isOpenAndIdle(*channel))
+    if (now < channel->ReusableUntil && loop::isOpenAndIdle(channel->Socket))
       return channel;
   }
   return nullptr;
--- a/tests/drivers/test_answer_reader.cpp
+++ b/tests/drivers/test_answer_reader.cpp
@@ -188,3 +188,26 @@
   LONGS_EQUAL(200, result.Status);
   CHECK(result.header("X-Late").empty());
 }
+
+// Guards against bytes after an answer taken for the answer to the next call.
+TEST(AnswerReader, DropsBytesAfterAnAnswer) {
+  for (const int delayMs : {0, 50}) {
+    const RawServer server(
+        [&](const RawRequest &request, const RawConnection &out) {
+          const std::string extra =
+              "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra";
+          std::string own = SoundAnswer;
+          own.replace(own.find("sound"), 5, request.Target.substr(0, 5));
+          out.write(delayMs == 0 ? own + extra : own);
+          if (delayMs > 0) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(delayMs));
+            out.write(extra);
+          }
+          return true;
+        });
+    StoreCalls store(server.address());
+    STRCMP_EQUAL("/one1", store.call("/one1").Body.c_str());
+    std::this_thread::sleep_for(std::chrono::milliseconds(2 * delayMs));
+    STRCMP_EQUAL("/two2", store.call("/two2").Body.c_str());
+  }
+}
