--- a/core/fleet/address_doubt.cpp
+++ b/core/fleet/address_doubt.cpp
@@ -10,7 +10,7 @@
 /// that has ended within a few heartbeats, so few are needed.
 constexpr absl::Duration TrialInterval = absl::Seconds(10);
 /// Time after which a trial call without a result allows the next one.
-constexpr absl::Duration TrialTimeout = absl::Seconds(1);
+constexpr absl::Duration AddressTrialTimeout = absl::Seconds(1);
 
 } // namespace
 
@@ -22,7 +22,7 @@
 
 void AddressDoubt::recordSend(absl::Time now) {
   if (isActive())
-    TrialAt = std::max(TrialAt, now + TrialTimeout);
+    TrialAt = std::max(TrialAt, now + AddressTrialTimeout);
 }
 
 } // namespace orioletally::core::fleet
--- a/core/fleet/cold_limit.cpp
+++ b/core/fleet/cold_limit.cpp
@@ -15,7 +15,7 @@
 /// margin for nodes that keep to their own share beside a connected majority.
 constexpr double RateShare = 0.94;
 /// Configured rates are clamped to these, so that times stay finite.
-constexpr double MinPerSecond = 0.1;
+constexpr double MinColdPerSecond = 0.1;
 constexpr double MaxPerSecond = 1e6;
 /// Time of the rate by which the tokens that nodes need differ. A longer time
 /// opens the limit to fewer nodes at once but uses it later.
@@ -35,7 +35,7 @@
 /// Interval at which nodes draw again how many tokens they need.
 constexpr absl::Duration DrawInterval = absl::Milliseconds(50);
 /// An overdrawn bucket is empty again after this time at the latest.
-constexpr absl::Duration MaxDebt = absl::Seconds(2);
+constexpr absl::Duration MaxColdDebt = absl::Seconds(2);
 /// How long a slot can be used. The slots of a second and those begun up to
 /// this time before it must stay below the tolerated requests of a second.
 constexpr absl::Duration SlotDuration = absl::Milliseconds(500);
@@ -57,8 +57,8 @@
 void ColdLimit::recordSend(const CellView &cell, bool isOwn, absl::Time now) {
   if (!isCold(now) || Share.Cell <= 0)
     return;
-  EmptyAt =
-      std::min(emptyAt(cell, now) + absl::Seconds(1 / rate()), now + MaxDebt);
+  EmptyAt = std::min(emptyAt(cell, now) + absl::Seconds(1 / rate()),
+                     now + MaxColdDebt);
   ++Sends;
   if (isOwn)
     LastOwnSlot = slotNumber(cell.Nodes, now);
@@ -70,7 +70,8 @@
 }
 
 double ColdLimit::rate() const {
-  return RateShare * std::clamp(Policy.PerSecond, MinPerSecond, MaxPerSecond) *
+  return RateShare *
+         std::clamp(Policy.PerSecond, MinColdPerSecond, MaxPerSecond) *
          Share.Cell;
 }
 
--- a/core/relay/start_wait.cpp
+++ b/core/relay/start_wait.cpp
@@ -11,7 +11,7 @@
 constexpr absl::Duration MaxStartupTime = absl::Milliseconds(500);
 /// A call that has waited for longer than this share of its caller's timeout
 /// has too little time left to be served.
-constexpr double CallerTimeoutShare = 0.5;
+constexpr double MaxWaitShare = 0.5;
 
 } // namespace
 
@@ -20,7 +20,7 @@
   if (IsOver)
     return now;
   return std::min(StartedAt + MaxStartupTime,
-                  now + CallerTimeoutShare * callerTimeout);
+                  now + MaxWaitShare * callerTimeout);
 }
 
 } // namespace orioletally::core::relay
--- a/drivers/backend/http_engine_client.cpp
+++ b/drivers/backend/http_engine_client.cpp
@@ -21,8 +21,8 @@
 using core::backends::StreamObserver;
 using http::ExchangeRequest;
 using http::ExchangeResult;
+using http::StatusOk;
 
-constexpr int StatusOk = 200;
 constexpr int StatusNotFound = 404;
 
 /// One HTTP exchange whose answer is a stream of frames.
--- a/drivers/gateway/caller_api.cpp
+++ b/drivers/gateway/caller_api.cpp
@@ -22,12 +22,12 @@
 using core::profiles::Profile;
 using core::profiles::ProfileKind;
 using core::requests::RequestPlan;
+using http::StatusOk;
 using nlohmann::json;
 
 constexpr int64_t DefaultMaxTokens = 256;
 constexpr int64_t NotReadyRetryMs = 1000;
 constexpr size_t MaxIdempotencyKeyLength = 256;
-constexpr int StatusOk = 200;
 
 json explainService(const ServicePlan &plan, const ServiceRunner &runner,
                     const ServiceResult &result) {
--- a/drivers/gateway/completion_exchange.cpp
+++ b/drivers/gateway/completion_exchange.cpp
@@ -16,10 +16,9 @@
 using core::requests::RequestMachine;
 using core::requests::RequestPlan;
 using core::requests::RestartAnswer;
+using http::StatusOk;
 using nlohmann::json;
 
-constexpr int StatusOk = 200;
-
 } // namespace
 
 CompletionExchange::CompletionExchange(std::shared_ptr<AdmissionPermit> permit,
--- a/drivers/gateway/operator_api.cpp
+++ b/drivers/gateway/operator_api.cpp
@@ -31,9 +31,9 @@
 using core::profiles::ProfileChange;
 using core::routing::BackendRegistry;
 using core::routing::BackendState;
+using http::StatusOk;
 using nlohmann::json;
 
-constexpr int StatusOk = 200;
 constexpr int StatusCreated = 201;
 constexpr int StatusAccepted = 202;
 constexpr int DefaultAuditRows = 100;
--- a/drivers/gateway/status_api.cpp
+++ b/drivers/gateway/status_api.cpp
@@ -15,9 +15,9 @@
 using core::membership::MemberView;
 using core::routing::BackendRegistry;
 using core::routing::BackendState;
+using http::StatusOk;
 using nlohmann::json;
 
-constexpr int StatusOk = 200;
 constexpr int StatusUnavailable = 503;
 
 json memberJson(const core::membership::Member &member,
--- a/drivers/http/http_message.h
+++ b/drivers/http/http_message.h
@@ -9,6 +9,8 @@
 
 namespace orioletally::drivers::http {
 
+constexpr int StatusOk = 200;
+
 /// Headers by name, which is compared without regard to case.
 using HeaderMap = std::multimap<std::string, std::string, boost::beast::iless>;
 
--- a/drivers/loop/connection_end.cpp
+++ b/drivers/loop/connection_end.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-constexpr size_t ReadBytes = 16 << 10;
+constexpr size_t DiscardBytes = 16 << 10;
 /// Interval between two cancellations after a timeout.
 constexpr auto CancelInterval = std::chrono::milliseconds(50);
 /// Interval between two looks whether a peer that has sent bytes has closed.
@@ -73,7 +73,7 @@
   buffer.clear();
   buffer.releaseIfEmpty();
   // What is discarded needs no memory of the connection's own.
-  static thread_local std::array<char, ReadBytes> discarded;
+  static thread_local std::array<char, DiscardBytes> discarded;
   for (size_t total = 0; total < maxBytes;) {
     const auto [ec, n] =
         co_await stream.async_read_some(asio::buffer(discarded), AsTuple);
--- a/drivers/platform/http_table_service.cpp
+++ b/drivers/platform/http_table_service.cpp
@@ -19,11 +19,11 @@
 using core::platform::TableRow;
 using core::platform::TableTransaction;
 using core::platform::TableWrite;
+using http::StatusOk;
 using nlohmann::json;
 
 constexpr std::array<std::string_view, TableCauseCount> CauseNames = {
     "profiles", "claims", "nodes", "other"};
-constexpr int StatusOk = 200;
 constexpr int StatusConflict = 409;
 
 leaf::error_id unavailable(std::string detail) {
--- a/drivers/platform/http_vm_list.cpp
+++ b/drivers/platform/http_vm_list.cpp
@@ -16,10 +16,9 @@
 using core::platform::Vm;
 using core::platform::VmListError;
 using core::platform::VmRole;
+using http::StatusOk;
 using nlohmann::json;
 
-constexpr int StatusOk = 200;
-
 std::optional<VmRole> parseVmRole(std::string_view name) {
   if (name == "engine")
     return VmRole::Engine;
--- a/drivers/relay/answer_writer.h
+++ b/drivers/relay/answer_writer.h
@@ -3,6 +3,7 @@
 
 #include "drivers/loop/asio_use.h"
 
+#include <absl/time/time.h>
 #include <string>
 
 namespace orioletally::drivers::relay {
@@ -10,6 +11,10 @@
 using PlainResponse = bhttp::response<bhttp::string_body>;
 using StreamHead = bhttp::response<bhttp::empty_body>;
 
+/// A caller that doesn't accept a part of its answer within this time counts
+/// as disconnected.
+constexpr absl::Duration CallerWriteTimeout = absl::Seconds(5);
+
 /// Writes the answer to one call to its caller: a whole message, or a stream
 /// piece by piece. Each write returns false if it failed.
 class AnswerWriter {
--- a/drivers/relay/attempt_runner.cpp
+++ b/drivers/relay/attempt_runner.cpp
@@ -29,9 +29,6 @@
 /// A slower connection isn't worth waiting for: this is about ten times the
 /// longest round trip between availability zones.
 constexpr absl::Duration ConnectTimeout = absl::Milliseconds(250);
-/// A caller that doesn't accept a part of its answer within this time counts
-/// as disconnected.
-constexpr absl::Duration CallerWriteTimeout = absl::Seconds(5);
 /// Time to read bytes that have arrived before a backend server counts as
 /// silent.
 constexpr absl::Duration UnreadBytesTime = absl::Milliseconds(20);
@@ -39,7 +36,6 @@
 constexpr size_t ReadBufferBytes = 8 << 10;
 constexpr int StatusUnavailable = 503;
 constexpr int StatusWrongBackend = 421;
-constexpr int StatusNoContent = 204;
 /// Subtracted from the time left that is sent to a backend server, so that its
 /// answer arrives before the deadline.
 constexpr absl::Duration AnswerTransitTime = absl::Milliseconds(5);
@@ -467,7 +463,8 @@
   if (!isBodiless(Call.Request.method(), status)) {
     response.body() = std::move(body);
     response.content_length(response.body().size());
-  } else if (!length.empty() && status != StatusNoContent) {
+  } else if (!length.empty() &&
+             response.result() != bhttp::status::no_content) {
     response.set(bhttp::field::content_length, length);
   }
   Plain = std::move(response);
--- a/drivers/relay/call_runner.cpp
+++ b/drivers/relay/call_runner.cpp
@@ -28,9 +28,6 @@
 /// A call fails after this many attempts at which nothing was written.
 /// Connecting takes up to a quarter of a second in each.
 constexpr int MaxUnsentAttempts = 3;
-/// A caller that doesn't accept a part of its answer within this time counts
-/// as disconnected.
-constexpr absl::Duration CallerWriteTimeout = absl::Seconds(5);
 /// Retry-After of a node that is starting or shutting down.
 constexpr int64_t NodeRetryAfterMs = 200;
 /// Minimum Retry-After of a call that backend servers refused.
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -12,6 +12,7 @@
 #include "drivers/relay/fleet_view.h"
 #include "drivers/relay/peer_link.h"
 #include "drivers/relay/relay_server.h"
+#include "main/settings.h"
 #include "platform/header_codec.h"
 #include "platform/store_fleet_source.h"
 #include "platform/wire_names.h"
@@ -39,7 +40,7 @@
 /// Part of ExitMargin in which aborted calls write their errors.
 constexpr auto AbortTime = std::chrono::milliseconds(150);
 constexpr auto AbortInterval = std::chrono::milliseconds(30);
-constexpr auto DrainPollInterval = std::chrono::milliseconds(50);
+constexpr auto IdlePollInterval = std::chrono::milliseconds(50);
 constexpr auto MaintenanceInterval = std::chrono::seconds(1);
 constexpr auto WatchPolicyInterval = std::chrono::milliseconds(100);
 /// File descriptors not used for calls: logs, timers, the event loop, peers.
@@ -62,10 +63,6 @@
 constexpr int StatusOk = 200;
 constexpr int StatusUnavailable = 503;
 
-absl::Duration milliseconds(const FieldValues &settings, std::string_view key) {
-  return absl::Milliseconds(settings.integer(key));
-}
-
 absl::Duration seconds(const FieldValues &settings, std::string_view key) {
   return absl::Seconds(settings.real(key));
 }
@@ -617,7 +614,7 @@
         Server.closeIdle();
       if (plan.isOver(now, Context.InProgress, Server.unfinished(now)))
         break;
-      timer.expires_after(DrainPollInterval);
+      timer.expires_after(IdlePollInterval);
       co_await timer.async_wait(AsTuple);
     }
     IsCleanExit = Context.InProgress == 0;
--- a/main/entry_settings.cpp
+++ b/main/entry_settings.cpp
@@ -17,7 +17,7 @@
 using core::fields::FieldType;
 using core::fields::FieldValues;
 
-constexpr std::array<FieldSpec, 22> Specs = {{
+constexpr std::array<FieldSpec, 22> EntrySpecs = {{
     {"node.name", FieldType::Text, "", "\"\"", 0, 128, "",
      "Unique name of this VM; peers.address if empty."},
     {"node.zone", FieldType::Text, "", "\"default\"", 1, 128, "",
@@ -70,7 +70,7 @@
 } // namespace
 
 const FieldTable &entryFields() {
-  static const FieldTable table(Specs);
+  static const FieldTable table(EntrySpecs);
   return table;
 }
 
--- a/main/node.cpp
+++ b/main/node.cpp
@@ -56,10 +56,6 @@
 constexpr absl::Duration AbortTimeout = absl::Seconds(5);
 constexpr double Percent = 0.01;
 
-absl::Duration milliseconds(const FieldValues &settings, std::string_view key) {
-  return absl::Milliseconds(settings.integer(key));
-}
-
 drivers::http::HttpServerSettings serverSettings(const FieldValues &settings) {
   drivers::http::HttpServerSettings result;
   result.Address = settings.text("http.address");
--- a/main/settings.cpp
+++ b/main/settings.cpp
@@ -128,6 +128,10 @@
   return parseFields(settingsFields(), text, file);
 }
 
+absl::Duration milliseconds(const FieldValues &settings, std::string_view key) {
+  return absl::Milliseconds(settings.integer(key));
+}
+
 leaf::result<std::string> readFile(const std::string &file) {
   std::ifstream in(file, std::ios::binary);
   if (!in)
--- a/main/settings.h
+++ b/main/settings.h
@@ -3,6 +3,7 @@
 
 #include "core/fields/field_table.h"
 
+#include <absl/time/time.h>
 #include <boost/leaf.hpp>
 #include <string>
 #include <string_view>
@@ -38,6 +39,10 @@
 boost::leaf::result<core::fields::FieldValues>
 loadSettings(const std::string &file);
 
+/// Returns the setting \p key, a number of milliseconds, as a duration.
+absl::Duration milliseconds(const core::fields::FieldValues &settings,
+                            std::string_view key);
+
 /// Reads a whole file.
 boost::leaf::result<std::string> readFile(const std::string &file);
 
