--- a/core/fleet/store_watch_policy.cpp
+++ b/core/fleet/store_watch_policy.cpp
@@ -47,6 +47,11 @@
   known = std::max(known, at);
 }
 
+absl::Time StoreWatchPolicy::currentAt(platform::FleetTopic topic,
+                                       absl::Time ownAnsweredAt) const {
+  return std::max(ownAnsweredAt, Topics[static_cast<size_t>(topic)].CurrentAt);
+}
+
 StoreWatchPolicy::WatchCounts
 StoreWatchPolicy::countWatchers(platform::FleetTopic topic,
                                 absl::Time now) const {
@@ -121,7 +126,7 @@
       return false;
     endRead(state, own);
   }
-  const absl::Time current = std::max(own.AnsweredAt, state.CurrentAt);
+  const absl::Time current = currentAt(topic, own.AnsweredAt);
   // A node that was never current is still in its first read.
   const bool mayRead =
       current != absl::InfinitePast() && now >= state.NextReadAt;
--- a/core/fleet/store_watch_policy.h
+++ b/core/fleet/store_watch_policy.h
@@ -87,6 +87,11 @@
   /// \p at, because it has all that a node has which the store answered then.
   void recordCurrent(platform::FleetTopic topic, absl::Time at);
 
+  /// Returns when this node, which the store last answered about \p topic at
+  /// \p ownAnsweredAt, last lacked nothing about it that the store had.
+  absl::Time currentAt(platform::FleetTopic topic,
+                       absl::Time ownAnsweredAt) const;
+
   /// Whether few nodes of the cell watch the store for all of them.
   bool isWatchShared() const { return Peers.size() >= SmallCellNodes; }
 
--- a/drivers/relay/call_runner.cpp
+++ b/drivers/relay/call_runner.cpp
@@ -106,20 +106,17 @@
   const std::string_view host = view(Call.Request[bhttp::field::host]);
   Call.Route = Call.Config->match(host, view(Call.Request.target()));
   if (Call.Route == nullptr) {
-    answerWithError(core::errors::refusal(
+    refuseByConfig(
         ErrorCode::NotFound,
-        fmt::format("no route for {}{}", host, view(Call.Request.target())),
-        fmt::format("configuration {}", Call.Config->version())));
+        fmt::format("no route for {}{}", host, view(Call.Request.target())));
     return false;
   }
   const std::string *workspace = Call.Config->workspace(Call.Head.Key);
   if (workspace != nullptr)
     Call.Workspace = *workspace;
   if (workspace == nullptr && !Call.Route->Public && Call.Config->needsKeys()) {
-    answerWithError(core::errors::refusal(
-        ErrorCode::Unauthorized,
-        "the API key is missing or belongs to no workspace",
-        fmt::format("configuration {}", Call.Config->version())));
+    refuseByConfig(ErrorCode::Unauthorized,
+                   "the API key is missing or belongs to no workspace");
     return false;
   }
   Call.Progress.Deadline =
@@ -146,6 +143,24 @@
   return true;
 }
 
+void CallRunner::refuseByConfig(ErrorCode code, std::string message) {
+  const absl::Time now = clock::steadyNow();
+  core::relay::ConfigCurrency currency;
+  currency.CurrentAt = now;
+  if (Context.ConfigCurrency)
+    currency = Context.ConfigCurrency(now);
+  log::write(log::Level::Info, "call_not_in_config",
+             {{"id", Call.Head.AttemptId},
+              {"code", core::errors::errorCodeName(code)},
+              {"version", Call.Config->version()},
+              {"age_ms", absl::ToInt64Milliseconds(now - currency.CurrentAt)},
+              {"source", currency.IsFromPeer ? "peer" : "store"},
+              {"newest_reported", currency.NewestReported}});
+  answerWithError(core::relay::refuseByConfig(
+      {code, std::move(message), Call.Config->version()}, currency,
+      Context.ConfigMaxAge, now));
+}
+
 std::optional<RequestError> CallRunner::quarantineError() const {
   const auto found = Context.Guard.findQuarantined(Call.CrashSuspects);
   if (!found.has_value())
--- a/drivers/relay/call_runner.h
+++ b/drivers/relay/call_runner.h
@@ -48,6 +48,8 @@
   /// the call is answered with an error instead.
   bool admit();
   void answerWithError(const core::errors::RequestError &error);
+  /// Answers a call that the configuration doesn't allow because of \p code.
+  void refuseByConfig(core::errors::ErrorCode code, std::string message);
   /// Returns the error of a call that is quarantined or whose prompt has a
   /// quarantined part; empty for any other call.
   std::optional<core::errors::RequestError> quarantineError() const;
--- a/drivers/relay/peer_link.cpp
+++ b/drivers/relay/peer_link.cpp
@@ -366,6 +366,7 @@
                                   std::move(update->Backends));
   if (!update->Leaving.empty())
     Handlers.OnPeerLeavingBackends(update->Leaving);
+  recordReportedConfig(update->ConfigVersion, now);
   if (!update->Config.empty() &&
       update->ConfigVersion > Handlers.ConfigVersion())
     Handlers.OnPeerConfig(update->ConfigVersion, std::move(update->Config));
@@ -373,6 +374,26 @@
   catchUp(*update, now);
 }
 
+void PeerLink::recordReportedConfig(uint64_t version, absl::Time now) {
+  if (version < ReportedConfig &&
+      now - ConfigReportedAt <= core::fleet::StoreWatchPolicy::PeerTimeout)
+    return;
+  ReportedConfig = version;
+  ConfigReportedAt = now;
+}
+
+core::relay::ConfigCurrency PeerLink::configCurrency(absl::Time now) const {
+  const absl::Time ownAt = Handlers.StoreCalls(FleetTopic::Config).AnsweredAt;
+  core::relay::ConfigCurrency result;
+  result.CurrentAt = WatchPolicy.currentAt(FleetTopic::Config, ownAt);
+  result.IsFromPeer = result.CurrentAt > ownAt;
+  // The store may give out versions again: what a node that is gone had
+  // doesn't count for long.
+  if (now - ConfigReportedAt <= core::fleet::StoreWatchPolicy::PeerTimeout)
+    result.NewestReported = ReportedConfig;
+  return result;
+}
+
 void PeerLink::recordStoreAnswers(const NodeUpdate &update, absl::Time now) {
   WatchPolicy.recordMessage(update.Node, now);
   const auto record = [&](FleetTopic topic, absl::Time at, bool hasAll) {
--- a/drivers/relay/peer_link.h
+++ b/drivers/relay/peer_link.h
@@ -7,6 +7,7 @@
 #include "core/fleet/store_watch_policy.h"
 #include "core/fleet/zone_evacuations.h"
 #include "core/platform/fleet_source.h"
+#include "core/relay/config_refusal.h"
 #include "core/relay/load_update.h"
 #include "drivers/loop/asio_use.h"
 #include "drivers/peer/peer_transport.h"
@@ -164,6 +165,9 @@
     return WatchPolicy.takeRead(topic, Handlers.StoreCalls(topic), now);
   }
 
+  /// Returns how up to date this node's configuration is.
+  core::relay::ConfigCurrency configCurrency(absl::Time now) const;
+
   /// Returns registered nodes that are gone and that this node should
   /// unregister.
   std::vector<core::platform::NodeEntry> expiredNodes(absl::Time now) const {
@@ -188,6 +192,7 @@
 
   void receive(const std::string &bytes);
   void updatePeer(const NodeUpdate &update, absl::Time now);
+  void recordReportedConfig(uint64_t version, absl::Time now);
   void recordStoreAnswers(const NodeUpdate &update, absl::Time now);
   /// Reads the store or asks the sender if this node is behind it, and replies
   /// with the configuration if the sender asked for it.
@@ -210,6 +215,9 @@
   std::map<std::string, Peer> Peers;
   core::fleet::NodeRoster Roster;
   core::fleet::StoreWatchPolicy WatchPolicy;
+  /// Newest version of the configuration that another node has reported.
+  uint64_t ReportedConfig = 0;
+  absl::Time ConfigReportedAt = absl::InfinitePast();
   core::fleet::CatchUp ConfigCatchUp;
   core::fleet::CatchUp BackendsCatchUp;
   core::fleet::CatchUp EvacuationsCatchUp;
--- a/drivers/relay/relay_context.h
+++ b/drivers/relay/relay_context.h
@@ -5,6 +5,7 @@
 #include "core/limits/memory_account.h"
 #include "core/limits/read_overruns.h"
 #include "core/relay/call_head.h"
+#include "core/relay/config_refusal.h"
 #include "core/relay/dispatcher.h"
 #include "core/relay/event_stream.h"
 #include "drivers/loop/asio_use.h"
@@ -61,6 +62,14 @@
   /// Places prompts on engines of other cells; may be null.
   CellPlacer *OtherCells = nullptr;
 
+  /// Returns how up to date the configuration is; null if that isn't known, and
+  /// it then counts as current.
+  std::function<core::relay::ConfigCurrency(absl::Time)> ConfigCurrency =
+      nullptr;
+  /// Calls that a configuration doesn't allow are refused for good only until
+  /// it is this old.
+  absl::Duration ConfigMaxAge = core::relay::DefaultConfigMaxAge;
+
   /// Counts what callers, backend servers and status pages' clients send beyond
   /// a bound.
   core::limits::ReadOverruns Overruns = {};
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -155,7 +155,7 @@
 bool canReload(std::string_view key) {
   return key == "node.grace_s" || key.starts_with("retries.") ||
          key == "store.wait_ms" || key == "store.bound_ms" ||
-         key == "placement.across_cells";
+         key == "store.config_max_age_ms" || key == "placement.across_cells";
 }
 
 platform::StoreSourceSettings
@@ -234,6 +234,9 @@
                            {"bound", core::limits::readOverrunName(overrun)},
                            {"messages", sum}});
     });
+    Context.ConfigCurrency = [this](absl::Time now) {
+      return Peers.configCurrency(now);
+    };
     View.setConfigChangedHandler([this] { Peers.announceConfig(); });
     View.setEvacuationsChangedHandler([this] { Peers.announceEvacuations(); });
     View.setStoreAnsweredHandler([this](FleetTopic topic) {
@@ -317,7 +320,7 @@
       co_await timer.async_wait(AsTuple);
       drivers::loop::LoopMonitor::of(Loop).timerFired(dueAt);
       const absl::Time now = drivers::clock::steadyNow();
-      setStoreTimeouts();
+      applyStoreSettings();
       for (const FleetTopic topic :
            {FleetTopic::Config, FleetTopic::Backends}) {
         setWatching(topic, Peers.shouldWatchStore(topic, now));
@@ -333,13 +336,15 @@
     Source.readChangesOnce(topic);
   }
 
-  /// The watchers of a cell poll more often than nodes that each watch for
-  /// themselves.
-  void setStoreTimeouts() {
+  /// Applies the settings of the store. The watchers of a cell poll more often
+  /// than nodes that each watch for themselves.
+  void applyStoreSettings() {
     absl::Duration poll = milliseconds(Settings, "store.wait_ms");
     if (Peers.isWatchShared())
       poll = std::min(poll, core::fleet::StoreWatchPolicy::SharedPollTime);
     Source.setTimeouts(poll, milliseconds(Settings, "store.bound_ms"));
+    Context.ConfigMaxAge =
+        absl::Milliseconds(Settings.real("store.config_max_age_ms"));
   }
 
   void setWatching(FleetTopic topic, bool shouldWatch) {
@@ -561,7 +566,7 @@
     Settings = values;
     Calls.setRetryBudget(retrySettings(Settings));
     OtherCells.setEnabled(Settings.flag("placement.across_cells"));
-    setStoreTimeouts();
+    applyStoreSettings();
     drivers::log::write(drivers::log::Level::Info, "reload",
                         {{"changed", changed}, {"need_restart", needRestart}});
   }
--- a/main/entry_settings.cpp
+++ b/main/entry_settings.cpp
@@ -17,7 +17,7 @@
 using core::fields::FieldType;
 using core::fields::FieldValues;
 
-constexpr std::array<FieldSpec, 22> EntrySpecs = {{
+constexpr std::array<FieldSpec, 23> EntrySpecs = {{
     {"node.name", FieldType::Text, "", "\"\"", 0, 128, "",
      "Unique name of this VM; peers.address if empty."},
     {"node.zone", FieldType::Text, "", "\"default\"", 1, 128, "",
@@ -49,6 +49,9 @@
      "Longest time that the store holds a long poll for changes."},
     {"store.bound_ms", FieldType::Integer, "ms", "1300", 100, 30000, "",
      "Timeout for a call to the store; a long poll gets store.wait_ms more."},
+    {"store.config_max_age_ms", FieldType::Real, "ms", "2000", 0, 600000, "",
+     "Age up to which a configuration decides that a call has no route or no "
+     "valid key; with an older one, callers are asked to come back."},
     {"retries.share", FieldType::Real, "", "0.2", 0, 1, "",
      "Retries per call of a service in one window, over all nodes."},
     {"retries.slack", FieldType::Real, "", "50", 0, 100000, "",
