--- a/core/platform/fleet_source.h
+++ b/core/platform/fleet_source.h
@@ -77,8 +77,10 @@
   /// failed call.
   virtual void storeCallFailed(FleetTopic topic, const std::string &reason) = 0;
 
-  /// The store answered a call about \p topic. Called for each answered call.
-  virtual void storeCallAnswered(FleetTopic topic) = 0;
+  /// The store answered a call about \p topic, and what it said is applied.
+  /// \p at is when the answer arrived, or when the read of a whole table began:
+  /// the store may have changed since. Called for each answered call.
+  virtual void storeCallAnswered(FleetTopic topic, absl::Time at) = 0;
 
   /// A row of \p topic couldn't be parsed and is skipped.
   virtual void rowRejected(FleetTopic topic, const std::string &key,
--- a/drivers/relay/fleet_view.cpp
+++ b/drivers/relay/fleet_view.cpp
@@ -217,14 +217,14 @@
 }
 
 void FleetView::nodesRead(const std::vector<core::platform::NodeEntry> &nodes) {
-  storeCallAnswered(FleetTopic::Nodes);
+  storeCallAnswered(FleetTopic::Nodes, clock::steadyNow());
   if (OnNodesRead)
     OnNodesRead(nodes);
 }
 
 void FleetView::quarantineRead(
     const std::vector<core::relay::QuarantinedPart> &parts) {
-  storeCallAnswered(FleetTopic::Quarantine);
+  storeCallAnswered(FleetTopic::Quarantine, clock::steadyNow());
   Context.Guard.quarantineRead(parts);
 }
 
@@ -258,13 +258,13 @@
       {{"topic", core::platform::fleetTopicName(topic)}, {"reason", reason}});
 }
 
-void FleetView::storeCallAnswered(FleetTopic topic) {
+void FleetView::storeCallAnswered(FleetTopic topic, absl::Time at) {
   Context.Metrics.storeCall(core::platform::fleetTopicName(topic), true);
   const absl::Time now = clock::steadyNow();
   if (topic == FleetTopic::Backends)
     Context.Dispatcher.directory().setListAvailable(now);
   TopicState &state = TopicStates[static_cast<size_t>(topic)];
-  state.Calls.AnsweredAt = now;
+  state.Calls.AnsweredAt = std::max(state.Calls.AnsweredAt, at);
   if (OnStoreAnswered)
     OnStoreAnswered(topic);
   if (!std::exchange(state.IsFailing, false))
--- a/drivers/relay/fleet_view.h
+++ b/drivers/relay/fleet_view.h
@@ -58,7 +58,8 @@
                         bool isRemoved) override;
   void storeCallFailed(core::platform::FleetTopic topic,
                        const std::string &reason) override;
-  void storeCallAnswered(core::platform::FleetTopic topic) override;
+  void storeCallAnswered(core::platform::FleetTopic topic,
+                         absl::Time at) override;
   void rowRejected(core::platform::FleetTopic topic, const std::string &key,
                    const std::string &reason) override;
 
--- a/tests/platform/test_loop_turns.cpp
+++ b/tests/platform/test_loop_turns.cpp
@@ -62,6 +62,8 @@
     if (Config != nullptr && read->version() <= Config->version())
       return;
     Config = std::move(read);
+    ConfigReadAt = drivers::clock::steadyNow();
+    IsConfigNew = true;
     Versions.push_back(Config->version());
   }
   void evacuationsRead(std::vector<core::fleet::EvacuationChange> evacuations,
@@ -92,7 +94,10 @@
   void storeCallFailed(FleetTopic, const std::string &) override {
     ++FailedCalls;
   }
-  void storeCallAnswered(FleetTopic) override {}
+  void storeCallAnswered(FleetTopic topic, absl::Time at) override {
+    if (topic == FleetTopic::Config && std::exchange(IsConfigNew, false))
+      ConfigAnsweredAt = at;
+  }
   void rowRejected(FleetTopic, const std::string &key,
                    const std::string &) override {
     Rejected.insert(key);
@@ -111,6 +116,11 @@
   size_t Nodes = 0;
   int Snapshots = 0;
   int FailedCalls = 0;
+  /// When the newest configuration was read, and when the store's answer with
+  /// it arrived; IsConfigNew is set until that is known.
+  absl::Time ConfigReadAt;
+  absl::Time ConfigAnsweredAt;
+  bool IsConfigNew = false;
 };
 
 platform::StoreSourceSettings settingsFor(const std::string &address) {
@@ -384,3 +394,15 @@
   CHECK(std::is_sorted(run.Listener.Versions.begin(),
                        run.Listener.Versions.end()));
 }
+
+// Guards against a configuration that counts as current until the end of its
+// decoding, while the store has a newer one.
+TEST(LoopTurns, AnswerCountsFromItsArrival) {
+  SourceRun run;
+  run.Source.start(run.Listener);
+  for (uint64_t version = 1; version <= 3; ++version) {
+    run.takeOver(configText(version, 3'000, 1, 1), version);
+    run.runUntil([&] { return !run.Listener.IsConfigNew; });
+    CHECK(run.Listener.ConfigAnsweredAt < run.Listener.ConfigReadAt);
+  }
+}
