--- a/drivers/relay/node_update.cpp
+++ b/drivers/relay/node_update.cpp
@@ -20,6 +20,7 @@
 
 /// Longer times in messages are clamped to this, an hour.
 constexpr uint64_t MaxSpanMs = 3'600'000;
+constexpr uint64_t MaxSentAtMs = uint64_t{1} << 62;
 /// Larger token counts are clamped to this, which exceeds any engine's memory.
 constexpr int64_t MaxTokens = int64_t{1} << 32;
 /// Least urgent rank of a call.
@@ -327,6 +328,7 @@
   message.set_node(update.Node);
   message.set_peer_address(update.PeerAddress);
   message.set_incarnation(update.Incarnation);
+  message.set_sent_at_ms(static_cast<uint64_t>(absl::ToUnixMillis(now)));
   message.set_config_version(update.ConfigVersion);
   message.set_config_followed_ago(encodeAge(update.ConfigAnsweredAt, now));
   message.set_backends_followed_ago(encodeAge(update.BackendsAnsweredAt, now));
@@ -368,6 +370,9 @@
   update.Node = message.node();
   update.PeerAddress = message.peer_address();
   update.Incarnation = message.incarnation();
+  if (message.sent_at_ms() > 0)
+    update.SentAt = absl::FromUnixMillis(static_cast<int64_t>(
+        std::min<uint64_t>(message.sent_at_ms(), MaxSentAtMs)));
   update.ConfigVersion = message.config_version();
   update.ConfigAnsweredAt = decodeAge(message.config_followed_ago(), now);
   update.BackendsAnsweredAt = decodeAge(message.backends_followed_ago(), now);
--- a/drivers/relay/node_update.h
+++ b/drivers/relay/node_update.h
@@ -23,10 +23,14 @@
   /// "ip:port" at which other nodes reach the sender.
   std::string PeerAddress;
   uint64_t Incarnation = 0;
+  /// When the message was sent, by the sender's steady clock; empty if it
+  /// doesn't say so.
+  std::optional<absl::Time> SentAt;
   /// Version of the sender's configuration; 0 for none.
   uint64_t ConfigVersion = 0;
   /// When the store last answered the sender about the configuration and about
-  /// the backend servers, by the receiver's clock; infinite past for never.
+  /// the backend servers, by the receiver's clock, as if the message had been
+  /// received when it was sent; infinite past for never.
   absl::Time ConfigAnsweredAt = absl::InfinitePast();
   absl::Time BackendsAnsweredAt = absl::InfinitePast();
   /// Versions of the store up to which the sender has all changes of the
--- a/drivers/relay/peer_link.cpp
+++ b/drivers/relay/peer_link.cpp
@@ -249,7 +249,7 @@
     Peer &peer = Peers[it.Name];
     if (peer.Incarnation >= it.Incarnation)
       continue;
-    peer = {it.PeerAddress, it.Incarnation, now};
+    peer = {it.PeerAddress, it.Incarnation, now, false, {}};
     hasNew = true;
   }
   std::erase_if(Peers, [&](const auto &it) {
@@ -357,6 +357,7 @@
   if (update->IsFleetWide && known == Peers.end())
     return;
   updatePeer(*update, now);
+  correctTimes(*update, now);
   if (!update->Evacuations.empty())
     Handlers.OnPeerEvacuations(update->Evacuations, update->EvacuationsVersion);
   for (const LoadUpdate &it : update->LoadUpdates)
@@ -413,6 +414,15 @@
          Handlers.BackendsAppliedVersion() >= update.BackendsVersion);
 }
 
+void PeerLink::correctTimes(NodeUpdate &update, absl::Time now) {
+  if (!update.SentAt.has_value())
+    return;
+  const absl::Duration delay =
+      Peers[update.Node].Delay.record(*update.SentAt, now);
+  update.ConfigAnsweredAt -= delay;
+  update.BackendsAnsweredAt -= delay;
+}
+
 void PeerLink::updatePeer(const NodeUpdate &update, absl::Time now) {
   Peer &peer = Peers[update.Node];
   Roster.recordMessage(update.Node, now);
@@ -420,7 +430,9 @@
   const bool isUnlisted = peer.Address.empty();
   const bool isNew =
       !peer.HasSentMessage || update.Incarnation != peer.Incarnation;
-  peer = {update.PeerAddress, update.Incarnation, now, true};
+  const core::fleet::MessageDelay delay =
+      isNew ? core::fleet::MessageDelay() : peer.Delay;
+  peer = {update.PeerAddress, update.Incarnation, now, true, delay};
   if (!isNew)
     return;
   log::write(log::Level::Info, "peer_found",
--- a/drivers/relay/peer_link.h
+++ b/drivers/relay/peer_link.h
@@ -3,6 +3,7 @@
 
 #include "core/fleet/backend_entry.h"
 #include "core/fleet/catch_up.h"
+#include "core/fleet/message_delay.h"
 #include "core/fleet/node_roster.h"
 #include "core/fleet/store_watch_policy.h"
 #include "core/fleet/zone_evacuations.h"
@@ -188,10 +189,13 @@
     absl::Time LastSeenAt;
     /// Whether this incarnation has sent a message; false if it is only listed.
     bool HasSentMessage = false;
+    core::fleet::MessageDelay Delay;
   };
 
   void receive(const std::string &bytes);
   void updatePeer(const NodeUpdate &update, absl::Time now);
+  /// Sets back the times in \p update by how long it was on its way.
+  void correctTimes(NodeUpdate &update, absl::Time now);
   void recordReportedConfig(uint64_t version, absl::Time now);
   void recordStoreAnswers(const NodeUpdate &update, absl::Time now);
   /// Reads the store or asks the sender if this node is behind it, and replies
--- a/tests/platform/test_evacuation.cpp
+++ b/tests/platform/test_evacuation.cpp
@@ -504,20 +504,28 @@
 
   /// Sends \p update, which says that the store has just answered the peer,
   /// every 50 ms for \p time.
-  void hear(drivers::relay::NodeUpdate update, milliseconds time) {
+  /// Each message is received \p delay after it was sent.
+  void hear(drivers::relay::NodeUpdate update, milliseconds time,
+            absl::Duration delay = absl::ZeroDuration()) {
     update.Node = "n1";
     update.PeerAddress = PeerAddress;
     update.Incarnation = 1;
     const auto end = std::chrono::steady_clock::now() + time;
     while (std::chrono::steady_clock::now() < end) {
-      const absl::Time now = drivers::clock::steadyNow();
-      update.ConfigAnsweredAt = now;
-      update.BackendsAnsweredAt = now;
-      Peer.send(Address, drivers::relay::encodeNodeUpdate(update, now));
+      const absl::Time sentAt = drivers::clock::steadyNow() - delay;
+      update.ConfigAnsweredAt = sentAt;
+      update.BackendsAnsweredAt = sentAt;
+      Peer.send(Address, drivers::relay::encodeNodeUpdate(update, sentAt));
       Loop.run_for(milliseconds(50));
     }
   }
 
+  /// For how long the node's configuration may have been outdated.
+  absl::Duration configAge() const {
+    const absl::Time now = drivers::clock::steadyNow();
+    return now - Link.configCurrency(now).CurrentAt;
+  }
+
   bool IsStarted = false;
   int ConfigReads = 0;
   int ConfigAnswers = 0;
@@ -628,3 +636,17 @@
   CHECK(linked.ConfigAnswers > 0);
   LONGS_EQUAL(0, linked.ConfigReads);
 }
+
+// Guards against a node that takes for news what its peers said before it was
+// frozen or fell behind with reading.
+TEST(Evacuation, DelayedStatementsDoNotMakeANodeCurrent) {
+  const RelayFixture other;
+  LinkedNode linked(node.PeersAddress, other.PeersAddress);
+  CHECK(linked.IsStarted);
+  linked.hear({}, milliseconds(500));
+  CHECK(linked.configAge() < absl::Milliseconds(200));
+  linked.hear({}, milliseconds(1'000), absl::Seconds(3));
+  CHECK(linked.configAge() >= absl::Milliseconds(900));
+  linked.hear({}, milliseconds(200));
+  CHECK(linked.configAge() < absl::Milliseconds(200));
+}
