--- a/tests/platform/test_entry_settings.cpp
+++ b/tests/platform/test_entry_settings.cpp
@@ -46,6 +46,7 @@
           {"limits.max_fds", "4200"},
           {"limits.memory_mb", "260"},
           {"bounds.grace_s", "8"},
+          {"bounds.config_deadline_ms", "2000"},
           {"bounds.retry_budget_ratio", "0.2"},
           {"bounds.budget_slack", "100"},
           {"bounds.budget_window_s", "10"}};
@@ -56,6 +57,7 @@
     {"limits.max_fds", "node.max_files"},
     {"limits.memory_mb", "node.memory_mb"},
     {"bounds.grace_s", "node.grace_s"},
+    {"bounds.config_deadline_ms", "store.config_max_age_ms"},
     {"bounds.retry_budget_ratio", "retries.share"},
     {"bounds.budget_slack", "retries.slack"},
     {"bounds.budget_window_s", "retries.window_s"}};
@@ -150,6 +152,7 @@
   Placeholders values = ownValues();
   values["limits.max_fds"] = "4200.5";
   values["bounds.grace_s"] = "7.5";
+  values["bounds.config_deadline_ms"] = "2000.5";
   values["bounds.retry_budget_ratio"] = "0.25";
   values["bounds.budget_slack"] = "102.5";
   values["bounds.budget_window_s"] = "9.25";
@@ -162,6 +165,7 @@
   Placeholders values = ownValues();
   values["limits.max_fds"] = "4200.0";
   values["bounds.grace_s"] = "8.0";
+  values["bounds.config_deadline_ms"] = "2000.0";
   values["bounds.retry_budget_ratio"] = "1.0";
   values["bounds.budget_slack"] = "100.0";
   values["bounds.budget_window_s"] = "10.0";
