--- a/review/standins-3/stage.cpp
+++ b/review/standins-3/stage.cpp
@@ -24,6 +24,8 @@
 const auto Started = std::chrono::steady_clock::now();
 std::mutex RecordGuard;
 constexpr size_t ReadBytes = 64 << 10;
+/// The store's port that is no door.
+constexpr size_t NoDoor = SIZE_MAX;
 
 std::string environment(const char *name) {
   const char *value = std::getenv(name);
@@ -341,12 +343,30 @@
 }
 
 Store::Store() {
-  Port.start([this](Connection &it) { serve(it); });
+  Port.start([this](Connection &it) { serve(it, NoDoor); });
+}
+
+size_t Store::openDoor() {
+  const size_t n = Doors.size();
+  Doors.push_back(std::make_unique<Server>());
+  Doors.back()->start([this, n](Connection &it) { serve(it, n); });
+  return n;
+}
+
+std::vector<size_t> Store::watchingDoors(const std::string &table, int64_t ms) {
+  const std::lock_guard lock(Guard);
+  std::vector<size_t> result;
+  for (const auto &[key, at] : WatchedAt)
+    if (key.first == table && at >= nowMs() - ms)
+      result.push_back(key.second);
+  return result;
 }
 
 void Store::stop() {
   Stopping = true;
   Changed.notify_all();
+  for (const auto &it : Doors)
+    it->stop();
   Port.stop();
 }
 
@@ -384,11 +404,11 @@
   return result;
 }
 
-void Store::serve(Connection &connection) {
+void Store::serve(Connection &connection, size_t door) {
   Message request;
   while (!Stopping && connection.read(request, false, -1)) {
     int status = 200;
-    const std::string body = answer(request, status);
+    const std::string body = answer(request, door, status);
     if (!connection.write(
             fmt::format("HTTP/1.1 {} -\r\nContent-Type: application/json\r\n"
                         "Content-Length: {}\r\n\r\n{}",
@@ -397,7 +417,7 @@
   }
 }
 
-std::string Store::answer(const Message &request, int &status) {
+std::string Store::answer(const Message &request, size_t door, int &status) {
   const std::string target = request.target();
   const std::string path = target.substr(0, target.find('?'));
   const auto query = queryOf(target);
@@ -405,6 +425,11 @@
     return transact(request.Body, status);
   if (path == "/orioletally/rows-get")
     return rowsOf(query);
+  if (path == "/orioletally/rows-feed") {
+    const std::lock_guard lock(Guard);
+    if (query.contains("wait_ms") && query.at("wait_ms") != "0")
+      WatchedAt[{query.at("table"), door}] = nowMs();
+  }
   if (path == "/orioletally/rows-feed")
     return feedOf(query, status);
   status = 404;
--- a/review/standins-3/stage.h
+++ b/review/standins-3/stage.h
@@ -126,6 +126,12 @@
   void put(const std::string &table, const std::string &key, const Json &value);
   void remove(const std::string &table, const std::string &key);
   const std::string &address() const { return Port.address(); }
+  /// Opens a further port, so that calls can be told apart; returns its number.
+  size_t openDoor();
+  const std::string &doorAddress(size_t n) const { return Doors[n]->address(); }
+  /// Returns the doors through which \p table was watched, with a wait for
+  /// changes, in the last \p ms.
+  std::vector<size_t> watchingDoors(const std::string &table, int64_t ms);
   void stop();
 
 private:
@@ -134,8 +140,8 @@
     Change Last;
   };
 
-  void serve(Connection &connection);
-  std::string answer(const Message &request, int &status);
+  void serve(Connection &connection, size_t door);
+  std::string answer(const Message &request, size_t door, int &status);
   std::string transact(const std::string &body, int &status);
   std::string rowsOf(const std::map<std::string, std::string> &query);
   std::string feedOf(const std::map<std::string, std::string> &query,
@@ -147,7 +153,10 @@
   std::condition_variable Changed;
   uint64_t Version = 100;
   std::map<std::pair<std::string, std::string>, Row> Rows;
+  /// When each door last got a watch of a table.
+  std::map<std::pair<std::string, size_t>, int64_t> WatchedAt;
   std::atomic<bool> Stopping = false;
+  std::deque<std::unique_ptr<Server>> Doors;
   Server Port;
 };
 
