--- a/review/standins-3/stage.cpp
+++ b/review/standins-3/stage.cpp
@@ -704,6 +704,8 @@
                   request.TimeLimitMs);
   if (!request.Key.empty())
     text += fmt::format("Authorization: Token {}\r\n", request.Key);
+  for (const auto &[name, value] : request.Headers)
+    text += fmt::format("{}: {}\r\n", name, value);
   if (request.Method != "GET")
     text += fmt::format("Content-Length: {}\r\n", request.Body.size());
   text += "\r\n" + request.Body;
--- a/review/standins-3/stage.h
+++ b/review/standins-3/stage.h
@@ -248,6 +248,7 @@
     std::string Key;
     int64_t TimeLimitMs = 3000;
     std::string Body;
+    std::vector<std::pair<std::string, std::string>> Headers = {};
   };
 
   /// Sends one request to \p front and waits for its answer.
