--- a/review/standins-3/case_part.cpp
+++ b/review/standins-3/case_part.cpp
@@ -35,7 +35,7 @@
               {"slots", 16},
               {"state", "ready"},
               {"seq", 0},
-              {"born", 1'700'000'000'000 + static_cast<int64_t>(start)}});
+              {"born", unixMs()}});
   }
 
 private:
--- a/review/standins-3/stage.cpp
+++ b/review/standins-3/stage.cpp
@@ -140,6 +140,12 @@
       .count();
 }
 
+int64_t unixMs() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
 void sleepMs(int64_t ms) {
   std::this_thread::sleep_for(std::chrono::milliseconds(ms));
 }
@@ -515,9 +521,7 @@
 
 Worker::Worker(std::string id, std::string service, int64_t workMs)
     : Id(std::move(id)), Service(std::move(service)), WorkMs(workMs),
-      BornMs(std::chrono::duration_cast<std::chrono::milliseconds>(
-                 std::chrono::system_clock::now().time_since_epoch())
-                 .count()) {
+      BornMs(unixMs()) {
   Port.start([this](Connection &it) { serve(it); });
 }
 
--- a/review/standins-3/stage.h
+++ b/review/standins-3/stage.h
@@ -27,6 +27,8 @@
 
 /// Milliseconds since the program's start.
 int64_t nowMs();
+/// The time of day as Unix milliseconds.
+int64_t unixMs();
 void sleepMs(int64_t ms);
 /// Waits until \p at, in milliseconds since the program's start.
 void sleepUntil(int64_t at);
