--- a/review/standins-3/case_missed.cpp
+++ b/review/standins-3/case_missed.cpp
@@ -19,9 +19,12 @@
 int main() {
   Store store;
   Worker leaver("i-leaver", "desk", WorkMs);
-  Worker stayer("i-stayer", "desk", WorkMs);
+  // One of four leaves, the site's largest share of scale_in (0.25).
+  Worker stayer("i-stayer-1", "desk", WorkMs);
+  Worker second("i-stayer-2", "desk", WorkMs);
+  Worker third("i-stayer-3", "desk", WorkMs);
   store.put("op", "config", manifest(7, "non_idempotent", "desk", 3'000, 1));
-  for (const Worker *it : {&leaver, &stayer})
+  for (const Worker *it : {&leaver, &stayer, &second, &third})
     store.put("servers", it->id(), it->entry("ready"));
   Node steady("edge-1", nextLoopbackIp(), store.address());
   Node rolled("edge-2", nextLoopbackIp(), store.address());
